--- /dev/null
+++ b/drumgw/__init__.py
@@ -0,0 +1,1 @@
+"""drumgw: an admission gateway for services sold by plan."""
