Bound what is out by the share of late answers; no age time-outs

Cause: in overload or zone loss, time-outs of running work fed a spiral of late answers and resubmissions.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -35,17 +35,25 @@
 QUANTILE = 0.9
 FEW = 12.0              # answers until a worker's own quantile is believed
 SICK_FAILURES = 0.3     # share of failures that rests a worker
-SILENT = 4.0            # a submission this many high quantiles old, with no answer since, rests its worker
+SILENT = 2.0            # a submission this many high quantiles old, with no answer since, rests its worker
 REST_MS, REST_MOST_MS = 1000.0, 6000.0
 FULL_REST_MS = 150.0
 COLD_PART = 0.4         # of the multiple under which a cold worker must stay
 RESEND_PART = 0.15      # resubmissions to first submissions
-RESEND_SAVED = 10.0
+RESEND_SAVED = 20.0
 TICK_MS = 100.0
+ROOM_START = 6.0        # submissions out a worker, all gateways together, until learned
+ROOM_LEAST = 1.0
+LATE_MOST, LATE_FEW = 0.12, 0.06   # shares of late answers above and below which the room shrinks and grows
+ROOM_SHRINK, ROOM_GROW = 0.9, 1.04
+LOWER_ROOM = 0.85       # each class leaves this part of the room of the class above
+LATE_AT = 0.8           # of the SLA time
+LATE_MEMORY = 0.05
 
 FIT, RESTING, TRIAL, LEFT_LIST = "fit", "resting", "trial", "left"
 NEW, OUT, DONE = "new", "out", "done"
 HEARD, BLIND = "heard", "blind"
+QUIET, PRESSED = "quiet", "pressed"
 
 
 def mix(*parts: int) -> int:
@@ -53,6 +61,13 @@
     return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "big") >> 1
 
 
+def blend(a: int, b: int) -> int:
+    """A quick stable hash for rankings."""
+    x = (a * 0x9E3779B97F4A7C15 ^ b * 0xC2B2AE3D27D4EB4F) & (2**64 - 1)
+    x = (x ^ x >> 29) * 0xBF58476D1CE4E5B9 & (2**64 - 1)
+    return x ^ x >> 32
+
+
 class Worker:
     """One worker. Emptied when the list drops it and nothing is out."""
 
@@ -63,7 +78,7 @@
         self.out: dict[int, tuple[float, float]] = {}   # txn: sent, thought slow at; emptied by answers
         self.slow, self.answers, self.failures = 1.0, 0.0, 0.0
         self.heard_at, self.settled = 0.0, 0.0
-        self.tokens, self.tokens_at = 0.0, 0.0
+        self.tokens, self.tokens_at, self.weight = 0.0, 0.0, 1.0
 
 
 class Account:
@@ -137,6 +152,8 @@
         self.mean = [p.sla_ms / 4 for p in terms.products]
         self.full_at = -1e12
         self.settle_at = 0.0
+        self.outs, self.weights, self.warm_mean = 0, 1.0, 0.0
+        self.room, self.late, self.state = 0.0, 0.0, QUIET
 
     def start(self, now: float) -> list[api.Action]:
         self.now = self.settle_at = now
@@ -171,6 +188,7 @@
                 fresh = Worker(entry.worker, entry)
                 if w is not None:
                     fresh.out = w.out
+                fresh.heard_at = self.now
                 fresh.tokens, fresh.tokens_at = self.chance.random(), self.now
                 self.workers[entry.worker] = fresh
         if e.whole:
@@ -185,24 +203,21 @@
     # -- choice of worker
 
     def pick(self, h: Held) -> Worker | None:
-        """First in the customer's rank that has not enough; ties of none go to the least loaded."""
+        """First in the customer's rank that has not enough; else the least loaded."""
         a = h.account
         if a.ranked != self.listing:
             a.ranked = self.listing
             a.ranking = sorted((w for w in self.workers.values() if w.state is not LEFT_LIST),
-                               key=lambda w: (self.fee and w.zone != self.zone, mix(a.customer, w.wid)))
+                               key=lambda w: (self.fee and w.zone != self.zone, blend(a.customer, w.wid)))
+        fair = ENOUGH * (1 + self.outs) / self.weights
+        for w in a.ranking:
+            if len(w.out) + 1 <= max(1.0, fair * w.weight) and w not in h.tried and self.able(w, h):
+                return w
         able = [w for w in a.ranking if self.able(w, h)]
-        if not able:
-            return None
         fresh = [w for w in able if w not in h.tried] or able
-        weight = {w.wid: self.weight(w) for w in fresh}
-        fair = ENOUGH * (1 + sum(len(w.out) for w in fresh)) / sum(weight.values())
-        for w in fresh:
-            if len(w.out) + 1 <= max(1.0, fair * weight[w.wid]):
-                return w
-        return min(fresh, key=lambda w: (len(w.out) + 1) / weight[w.wid])
+        return min(fresh, key=lambda w: (len(w.out) + 1) / w.weight) if fresh else None
 
-    def weight(self, w: Worker) -> float:
+    def weigh(self, w: Worker) -> float:
         trust = min(1.0, w.answers / FEW)
         return max(0.2, min(1.5, (1 / w.slow) ** trust))
 
@@ -228,9 +243,7 @@
 
     def cold_tokens(self, w: Worker) -> float:
         """Guards cold workers: a part of what warm fellows settle here, so all gateways stay under the rule."""
-        warm = [x.settled for x in self.workers.values() if x.state is FIT and self.warmth(x) >= 1.0]
-        mean = sum(warm) / len(warm) if warm else 0.0
-        rate = self.cold_multiple * self.warmth(w) * mean / RATE_MEMORY_MS
+        rate = self.cold_multiple * self.warmth(w) * self.warm_mean / RATE_MEMORY_MS
         w.tokens = min(1.0, w.tokens + rate * (self.now - w.tokens_at)) if w.tokens < 1 else w.tokens
         w.tokens_at = self.now
         return w.tokens
@@ -249,6 +262,9 @@
         if wait > 0:
             h.over_wait = wait      # type: ignore[attr-defined]
             self.step(TXN_TABLE, h, "no units")
+        elif self.outs >= self.room * LOWER_ROOM ** self.rank[h.product]:
+            h.over_wait = self.longest_wait * self.chance.uniform(0.3, 1.0)      # type: ignore[attr-defined]
+            self.step(TXN_TABLE, h, "no room")
         else:
             self.step(TXN_TABLE, h, "admitted")
 
@@ -270,7 +286,7 @@
             lack = max(0.0, units - (plan.quota - total - self.reserved_above(a, c)))
             if lack <= 0:
                 return 0.0
-        if plan.soft and self.now - self.full_at > plan.window:
+        if plan.soft and self.state is QUIET and self.now - self.full_at > plan.window:
             h.over = True
             return 0.0
         self.refresh(a)
@@ -353,7 +369,7 @@
         self.call_at = self.now
         span = NAME_WINDOWS * a.plan.window
         epoch = int(self.now // span)
-        name = mix(a.customer, c, epoch)
+        name, amount = mix(a.customer, c, epoch), round(amount, 2)
         a.asked[c] = True
         self.calls.setdefault(name, []).append((a, c, amount, epoch))
         self.out.append(api.Add(name, amount, min(60000.0, 2 * span)))
@@ -390,7 +406,7 @@
                 news = max(0.0, total - a.plan.rate * (self.now - epoch * window))
                 since = epoch * window
             a.unsure[c] = 0.0
-        if news < 0:
+        if news < -1:
             self.say(f"counter forgot: total lower by {-news:.0f}")
             news = a.guess[c]
         mine = min(news, a.unsure[c])
@@ -420,23 +436,21 @@
         h.account.out += 1
         if self.warmth(w) < 1.0:
             w.tokens -= 1.0
-        p = self.products[h.product]
-        stop = h.expiry
-        if p.repeat is not Repeat.ONCE and h.tries + 1 < self.most and self.resends >= 1:
-            stop = min(stop, self.now + max(p.sla_ms / 2, min(p.sla_ms, 3 * self.high[h.product])))
         self.resends = min(RESEND_SAVED, self.resends + RESEND_PART) if h.tries == 0 else self.resends - 1
         h.tries += 1
         h.worker, h.sent_at = w, self.now
         h.tried.append(w)
         w.out[h.txn] = (self.now, self.now + SILENT * self.high[h.product])
-        self.out.append(api.Submit(h.txn, w.wid, stop))
+        self.outs += 1
+        self.out.append(api.Submit(h.txn, w.wid, h.expiry))
         return None
 
     def on_answer(self, e: api.Answer) -> None:
         w = self.workers.get(e.worker)
         if w is not None:
             self.judge(w, e)
-            w.out.pop(e.txn, None)
+            if w.out.pop(e.txn, None):
+                self.outs -= 1
         h = self.held.get(e.txn)
         if h is None or h.worker is None or h.worker.wid != e.worker:
             return
@@ -514,19 +528,27 @@
             step = 0.1
             w.slow = max(0.3, min(5.0, w.slow * (1 + step * (QUANTILE if ratio > w.slow else QUANTILE - 1))))
             w.settled += 1
+            self.late += LATE_MEMORY * ((e.took_ms > LATE_AT * self.products[k].sla_ms) - self.late)
             w.failures *= 0.8
             self.step(WORKER_TABLE, w, "settled")
-        elif e.end in (End.ERROR, End.BROKEN, End.UNREACHED) or e.end is End.TIMEOUT:
+        elif e.end is End.TIMEOUT and w.heard_at > self.now - e.took_ms:
+            self.late += LATE_MEMORY * (1 - self.late)
+        elif e.end in (End.ERROR, End.BROKEN, End.UNREACHED, End.TIMEOUT):
             w.failures += 0.2 * (1 - w.failures)
             if w.failures > SICK_FAILURES or e.end is End.UNREACHED or e.end is End.BROKEN or w.state is TRIAL:
                 self.step(WORKER_TABLE, w, "sick")
         elif e.end is End.FULL:
             w.until = self.now + FULL_REST_MS
+            self.late += LATE_MEMORY * (1 - self.late)
             self.step(WORKER_TABLE, w, "full")
 
     def rest(self, w: Worker) -> None:
         w.until = self.now + w.rest_ms
         self.say(f"worker {w.wid} rests {w.rest_ms:.0f} ms: failures {w.failures:.2f}, out {len(w.out)}")
+        for txn in w.out if self.can_cancel else ():
+            h = self.held.get(txn)
+            if h is not None and h.worker is w and self.products[h.product].repeat is not Repeat.ONCE:
+                self.out.append(api.Cancel(txn, h.tries - 1))
         w.rest_ms = min(REST_MOST_MS, 2 * w.rest_ms)
 
     def restore(self, w: Worker) -> None:
@@ -536,18 +558,43 @@
     def on_due(self, e: api.Due) -> None:
         """The tick: silent workers rest, idle books age out, rates fade."""
         self.out.append(api.Wake(TICK_MS, 0))
-        fade = 1 - TICK_MS / RATE_MEMORY_MS
+        fade, warm, weights = 1 - TICK_MS / RATE_MEMORY_MS, [0.0], 0.0
         for w in list(self.workers.values()):
             w.settled *= fade
+            w.weight = self.weigh(w)
             if w.state is LEFT_LIST and not w.out:
                 del self.workers[w.wid]
-            elif any(self.now > late and w.heard_at < sent for sent, late in w.out.values()):
-                self.step(WORKER_TABLE, w, "sick" if w.state is not RESTING else "")
+                continue
+            if w.state is FIT:
+                weights += w.weight
+                if self.warmth(w) >= 1.0:
+                    warm.append(w.settled)
+            if w.state is not RESTING and any(self.now > late and w.heard_at < sent for sent, late in w.out.values()):
+                self.step(WORKER_TABLE, w, "sick")
+        self.weights = max(1.0, weights)
+        self.warm_mean = sum(warm) / max(1, len(warm) - 1)
+        self.make_room()
         for a in list(self.accounts.values()):
             idle = self.now - a.seen_at
             if idle > 4 * a.plan.window and not a.out and not any(a.asked) and idle > 10000:
                 del self.accounts[a.customer]
 
+    def make_room(self) -> None:
+        """Guards against the spiral of late answers, whatever slows the workers: fewer are let out at once."""
+        n = sum(w.state is not LEFT_LIST for w in self.workers.values()) / self.gatekeepers
+        if not self.room:
+            self.room = ROOM_START * n
+        if self.late > LATE_MOST:
+            self.room = min(self.room, max(ROOM_LEAST * n, ROOM_SHRINK * min(self.room, self.outs + 1.0)))
+        elif self.late < LATE_FEW and self.outs > 0.7 * self.room:
+            self.room *= ROOM_GROW
+        self.room = max(2.0, self.room)
+        self.late *= 1 - 0.2 * LATE_MEMORY
+        state = PRESSED if self.late > LATE_MOST else QUIET if self.late < LATE_FEW else self.state
+        if state is not self.state:
+            self.state = state
+            self.say(f"back end {state}: late {self.late:.2f}, out {self.outs}, room {self.room:.0f}")
+
     def say(self, text: str) -> None:
         self.out.append(api.Say(text))
 
@@ -567,6 +614,7 @@
 TXN_TABLE: dict[tuple[str, str], tuple[str, Callable[..., Any]]] = {
     (NEW, "admitted"): (OUT, Gatekeeper.submit),
     (NEW, "no units"): (DONE, Gatekeeper.finish),
+    (NEW, "no room"): (DONE, Gatekeeper.finish),
     (OUT, "no worker"): (DONE, Gatekeeper.finish),
     (OUT, "unsettled"): (OUT, Gatekeeper.again),
     (OUT, "settled"): (DONE, Gatekeeper.forget),
