Ceiling: part held evenly, part leased per short window; open cap split over the gateways

Cause: a customer gathered on one gateway ran out of its even part of the ceiling at 0.4 of its quota, and submissions beyond the open cap were booked as use.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -42,6 +42,9 @@
 RESEND_PART = 0.15      # resubmissions to first submissions
 RESEND_SAVED = 20.0
 TICK_MS = 100.0
+CEILING_OWN = 0.6       # part of a ceiling that the customer's gateways hold evenly, without asking
+CEILING_POOL = 0.38     # part that they lease from the counter ...
+POOL_PART = 0.25        # ... in windows of this part of the time in which the ceiling's store fills
 ROOM_START = 6.0        # submissions out a worker, all gateways together, until learned
 ROOM_LEAST = 1.0
 LATE_MOST, LATE_FEW = 0.12, 0.06   # shares of late answers above and below which the room shrinks and grows
@@ -94,7 +97,8 @@
         self.lease, self.unsure, self.seen = [0.0] * n, [0.0] * n, [0.0] * n
         self.epoch, self.asked, self.told = [-1] * n, [False] * n, [keeper.now] * n
         self.out, self.over_until = 0, 0.0
-        self.ceiling, self.ceiling_at = 0.0, keeper.now     # a fresh gateway can't know what was spent
+        self.ceiling = 0.0      # a fresh gateway can't know what its predecessor spent
+        self.pool, self.pool_epoch, self.pool_asked = 0.0, -1, False
         self.ranking: list[Worker] = []
         self.ranked = -1
 
@@ -102,13 +106,16 @@
 class Plan:
     """The few figures that decisions use of a plan."""
 
-    def __init__(self, p: api.Plan) -> None:
+    def __init__(self, p: api.Plan, counter: bool) -> None:
         self.quota = p.burst if p.rate else float("inf")
         self.rate = p.rate / 1000.0
         self.window = p.burst / self.rate if p.rate else 1000.0
         self.open_cap = p.open_cap
         self.soft = p.over_value > p.over_cost
-        self.ceiling_rate, self.ceiling_burst = p.ceiling_rate / 1000.0, p.ceiling_burst
+        own = CEILING_OWN if counter else 1.0
+        self.ceiling_rate, self.ceiling_burst = own * p.ceiling_rate / 1000.0, own * p.ceiling_burst
+        self.pool_ms = POOL_PART * p.ceiling_burst / p.ceiling_rate * 1000.0 if p.ceiling_rate else 0.0
+        self.pool = CEILING_POOL * p.ceiling_rate / 1000.0 * self.pool_ms
 
 
 class Held:
@@ -136,7 +143,8 @@
         by_value = sorted(range(len(terms.products)), key=lambda i: -terms.products[i].value)
         self.rank = {p: r for r, p in enumerate(by_value)}
         self.shares, self.floors = portions(SHARES, len(by_value)), portions(FLOORS, len(by_value))
-        self.plans = [Plan(p) for p in terms.plans]
+        self.plans = [Plan(p, terms.counter) for p in terms.plans]
+        self.top_units = terms.top_units
         self.has_counter, self.can_cancel = terms.counter, terms.cancel
         self.longest_wait, self.most = terms.retry_after_ms, terms.submissions
         self.cold_from, self.cold_ms = terms.cold_from, terms.cold_ms
@@ -273,12 +281,14 @@
         a, c, units = h.account, self.rank[h.product], h.units
         plan = a.plan
         if plan.ceiling_rate:
-            lack = units - a.ceiling
+            lack = units - a.ceiling - self.pool(a)
+            if lack > -units:
+                self.lease_pool(a)
             if lack > 0:
                 return max(1.0, lack * a.gates / plan.ceiling_rate)
         total = sum(a.use)
         lack = max(0.0, total + units - plan.quota)
-        if plan.open_cap and a.out >= plan.open_cap:
+        if plan.open_cap and a.out >= max(1, plan.open_cap // a.gates):
             lack = max(lack, units)
         elif lack <= 0 and a.use[c] + units <= self.shares[c] * plan.quota:
             return 0.0
@@ -300,12 +310,33 @@
             total += max(0.0, floor - a.use[d])
         return total
 
+    def pool(self, a: Account) -> float:
+        """What is left of this window's leases of the ceiling; they end with the window."""
+        epoch = int(self.now // a.plan.pool_ms)
+        if a.pool_epoch != epoch:
+            a.pool, a.pool_epoch, a.pool_open = 0.0, epoch, True
+        return a.pool
+
+    def lease_pool(self, a: Account) -> None:
+        if self.has_counter and a.pool_open and not a.pool_asked and self.counter_free():
+            a.pool_asked = True
+            self.add(a, -1, max(self.top_units, a.plan.pool * BLOCK_PART), a.pool_epoch, 2 * a.plan.pool_ms)
+
+    def grant_pool(self, a: Account, amount: float, epoch: int, e: api.Total) -> None:
+        """Only what was surely added, in its own window, within the pool."""
+        a.pool_asked = False
+        if e.end is End.SETTLED and self.pool(a) >= 0 and epoch == a.pool_epoch:
+            a.pool += max(0.0, min(amount, a.plan.pool - (e.total - amount)))
+            a.pool_open = e.total < a.plan.pool
+
     def spend(self, h: Held) -> None:
         """The first submission takes its units."""
         a, c = h.account, self.rank[h.product]
         h.counted = True
         if a.plan.ceiling_rate:
-            a.ceiling -= h.units
+            leased = min(self.pool(a), h.units)
+            a.pool -= leased
+            a.ceiling -= h.units - leased
         if not h.over:
             self.book(a, c, h.units)
 
@@ -328,7 +359,7 @@
             return
         a.at, plan = self.now, a.plan
         if plan.ceiling_rate:
-            part = 1 / a.gates if self.member(a) else 0.0
+            part = 1 / a.gates
             a.ceiling = min(part * plan.ceiling_burst, a.ceiling + part * plan.ceiling_rate * dt)
         for c, rate in enumerate(a.rate):
             a.use[c] += rate * dt
@@ -348,9 +379,6 @@
             a.last = a.spent if self.now - a.window_at < 2 * plan.window else [0.0] * len(a.spent)
             a.spent, a.window_at = [0.0] * len(a.spent), self.now
 
-    def member(self, a: Account) -> bool:
-        return True
-
     # -- the counter
 
     def refresh(self, a: Account) -> None:
@@ -360,19 +388,21 @@
             self.call(a, c, max(0.0, -a.lease[c]))
 
     def call(self, a: Account, c: int, amount: float) -> None:
-        if not self.has_counter or a.asked[c] or self.call_tokens < 1:
+        if not self.has_counter or a.asked[c] or self.call_tokens < 1 or not self.counter_free():
             return
-        if self.counter is BLIND:
-            if self.now - self.call_at < BLIND_RETRY_MS:
-                return
         self.call_tokens -= 1
-        self.call_at = self.now
+        a.asked[c] = True
         span = NAME_WINDOWS * a.plan.window
-        epoch = int(self.now // span)
+        self.add(a, c, amount, int(self.now // span), 2 * span)
+
+    def counter_free(self) -> bool:
+        return self.counter is HEARD or self.now - self.call_at >= BLIND_RETRY_MS
+
+    def add(self, a: Account, c: int, amount: float, epoch: int, lives: float) -> None:
         name, amount = mix(a.customer, c, epoch), round(amount, 2)
-        a.asked[c] = True
+        self.call_at = self.now
         self.calls.setdefault(name, []).append((a, c, amount, epoch))
-        self.out.append(api.Add(name, amount, min(60000.0, 2 * span)))
+        self.out.append(api.Add(name, amount, min(60000.0, lives)))
 
     def on_total(self, e: api.Total) -> None:
         waiting = self.calls.get(e.name)
@@ -381,8 +411,11 @@
         a, c, amount, epoch = waiting.pop(0)
         if not waiting:
             del self.calls[e.name]
-        a.asked[c] = False
         self.age(a)
+        if c < 0:
+            self.grant_pool(a, amount, epoch, e)
+            return self.step_counter(e.end is End.SETTLED)
+        a.asked[c] = False
         if e.end is End.SETTLED:
             a.lease[c] += amount
             self.learn(a, c, e.total - amount, epoch)
@@ -569,7 +602,7 @@
                 weights += w.weight
                 if self.warmth(w) >= 1.0:
                     warm.append(w.settled)
-            if w.state is not RESTING and any(self.now > late and w.heard_at < sent for sent, late in w.out.values()):
+            if w.state is not RESTING and sum(self.now > late and w.heard_at < sent for sent, late in w.out.values()) > 1:
                 self.step(WORKER_TABLE, w, "sick")
         self.weights = max(1.0, weights)
         self.warm_mean = sum(warm) / max(1, len(warm) - 1)
