--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 import random
-from typing import Any, Callable
+from collections.abc import Callable
+from typing import Any
 
 from drumgw import interface as api
 from drumgw.interface import End, Group, Health, Repeat
@@ -35,7 +36,7 @@
 SLOW_LEAST, SLOW_MOST = 0.67, 5.0                 # bounds of a worker's quantile to its fellows'
 FAILURE_STEP, SICK_FAILURES = 0.2, 0.3   # share of failures that rests a worker
 SILENT = 2.0            # high quantiles after which a submission is overdue
-OVERDUE = 2             # so many overdue with no answer since rest their worker
+OVERDUE = 2.0           # two such, or one this many times as old, with no answer since, rest their worker
 REST_MS, REST_MOST_MS, FULL_REST_MS = 1000.0, 6000.0, 150.0
 COLD_PART = 0.4         # of the multiple under which a cold worker must stay
 RESEND_PART, RESEND_SAVED = 0.15, 20.0   # resubmissions to first submissions
@@ -138,9 +139,9 @@
         self.missed, self.call_at, self.call_tokens = 0, 0.0, CALLS_SAVED
         self.high = [p.sla_ms / 2 for p in terms.products]    # high quantile of answer times
         self.listing, self.outs, self.weights, self.warm_mean = 0, 0, 1.0, 0.0
-        self.room, self.late, self.full_at, self.resends = 0.0, 0.0, -1e12, RESEND_SAVED
+        self.room, self.late, self.full_at, self.resends, self.fleet = 0.0, 0.0, -1e12, RESEND_SAVED, 1.0
 
-    def start(self, now: float) -> list[api.Action]:
+    def start(self, _now: float) -> list[api.Action]:
         return [api.Wake(TICK_MS, 0)]
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -172,6 +173,8 @@
             if e.whole and w.wid not in named:
                 self.step(WORKER_TABLE, w, "dropped")
         self.listing += 1
+        self.fleet = max(1.0, sum(w.state is not DROPPED for w in self.workers.values()) / self.gatekeepers)
+        self.room = self.room or ROOM_START * self.fleet
 
     def pick(self, h: Held) -> Worker | None:
         """First in the customer's rank that has not enough; else the least loaded."""
@@ -388,15 +391,15 @@
         self.outs += 1
         h.sent_at = self.now
         h.tried.append(w)
-        w.out[h.txn] = (self.now, self.now + SILENT * self.high[h.product])
+        w.out[h.txn] = (self.now, self.now + SILENT * self.high[h.product] * w.slow / self.warmth(w))
         self.acts.append(api.Submit(h.txn, w.wid, h.expiry))
         return None
 
     def on_answer(self, e: api.Answer) -> None:
         h, w = self.held.get(e.txn), self.workers.get(e.worker)
         if w is not None:
-            self.judge(w, e, h)
             self.outs -= w.out.pop(e.txn, None) is not None
+            self.judge(w, e, h)
         if h is None:
             return
         h.account.out -= 1
@@ -419,7 +422,7 @@
         """The final answer, at once: declined where trying again is known to be harmless, else voided."""
         p = self.products[h.product]
         harmless = p.repeat is Repeat.INQUIRY or p.repeat is Repeat.REFERENCED and p.group is Group.ALL
-        wait = min(self.longest_wait, h.wait * self.chance.uniform(1.0, 1.2))
+        wait = min(self.longest_wait, (h.wait or REST_MS) * self.chance.uniform(1.0, 1.2))
         self.acts.append(api.Decline(h.txn, wait) if harmless or h.ran is None else api.Void(h.txn))
         self.forget(h)
 
@@ -485,7 +488,8 @@
             self.weights += w.weight * (w.state is FIT)
             if w.state is FIT and self.warmth(w) >= 1.0:
                 warm.append(w.settled)
-            if sum(self.now > late and w.heard_at < sent for sent, late in w.out.values()) >= OVERDUE:
+            waits = [(self.now - sent) / (late - sent) for sent, late in w.out.values() if w.heard_at < sent]
+            if sum(x for x in waits if x > 1) >= OVERDUE:
                 self.step(WORKER_TABLE, w, "sick")
         self.weights, self.warm_mean = max(1.0, self.weights), sum(warm) / max(1, len(warm) - 1)
         self.make_room()
@@ -494,13 +498,11 @@
 
     def make_room(self) -> None:
         """Guards against the spiral of late answers, whatever slows the workers: fewer are out at once."""
-        n = max(1.0, sum(w.state is not DROPPED for w in self.workers.values()) / self.gatekeepers)
-        self.room = self.room or ROOM_START * n
         if self.late > LATE_MOST:
-            self.room = min(self.room, max(ROOM_LEAST * n, ROOM_SHRINK * min(self.room, self.outs + 1.0)))
+            less = ROOM_SHRINK * min(self.room, self.outs + 1.0)
+            self.room = min(self.room, max(ROOM_LEAST * self.fleet, less))
         elif self.late < LATE_FEW and self.outs > 0.7 * self.room:
             self.room *= ROOM_GROW
-        self.room = max(2.0, self.room)
         word = "late" * (self.late > LATE_MOST) or "in time" * (self.late < LATE_FEW)
         self.step(MODE_TABLE, self.back_end, word)
         self.late *= 1 - LATE_STEP / 5
@@ -516,8 +518,7 @@
     return [*source[:-1], *[source[-1] / more] * more][:n]
 
 
-def nothing(_keeper: Gatekeeper, _thing: Any) -> None:
-    """Keeps the tables and handlers whole."""
+def nothing(_keeper: Gatekeeper, _thing: Any) -> None: ...
 
 
 TXN_TABLE: Table = {
--- a/drumgw/drill/wire.py
+++ b/drumgw/drill/wire.py
@@ -26,14 +26,14 @@
     value = obj.get(key, 0.0)
     if value is None:
         value = 0.0
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+    if isinstance(value, bool) or not isinstance(value, int | float):
         raise BadTerms(f"{key} is not a number: {value!r}")
     if not value >= least:
         raise BadTerms(f"{key} is {value}, below {least:g}")
     return float(value)
 
 
-def read_terms(options: Obj) -> tuple[api.Terms, "Names"]:
+def read_terms(options: Obj) -> tuple[api.Terms, Names]:
     """The start-up terms in our words, and the names the wire uses for them."""
     products, plans = options.get("classes"), options.get("tiersOfService")
     if not products:
@@ -46,7 +46,7 @@
         raise BadTerms(f"missing {lack.args[0]}") from lack
 
 
-def _terms(options: Obj, products: list[Obj], plans: list[Obj]) -> tuple[api.Terms, "Names"]:
+def _terms(options: Obj, products: list[Obj], plans: list[Obj]) -> tuple[api.Terms, Names]:
     allowed, rules = options["ceilings"], options["contract"]
     family = options.get("familyInfo") or {}
     report = options.get("loadReport") or {}
--- a/drumgw/interface.py
+++ b/drumgw/interface.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import NamedTuple, Union
+from typing import NamedTuple
 
 
 class Repeat(Enum):
@@ -173,7 +173,7 @@
     load: dict[str, float]
 
 
-Event = Union[Listed, Txn, Answer, Begun, Left, Due, Total, Probed]
+Event = Listed | Txn | Answer | Begun | Left | Due | Total | Probed
 
 
 class Submit(NamedTuple):
@@ -219,4 +219,4 @@
     text: str
 
 
-Action = Union[Submit, Decline, Void, Cancel, Wake, Add, Probe, Say]
+Action = Submit | Decline | Void | Cancel | Wake | Add | Probe | Say
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,103 @@
+"""The tests' one helper: plays events to a gatekeeper and writes its decisions down as a short trace."""
+from __future__ import annotations
+
+import dataclasses
+import difflib
+import pathlib
+import unittest
+from typing import Any
+
+from drumgw import interface as api
+from drumgw.control import Gatekeeper
+
+TRACES = pathlib.Path(__file__).parent / "traces"
+INQUIRY = api.Product(1.0, 2000.0, 8000.0, api.Repeat.INQUIRY, api.Group.ALL, 5000.0, 0.2)
+ONCE = api.Product(3.0, 800.0, 2500.0, api.Repeat.ONCE, api.Group.ALL, 5000.0, 0.2)
+BY_ZONE = api.Product(5.0, 2500.0, 8000.0, api.Repeat.REFERENCED, api.Group.ZONE, 3000.0, 0.0)
+HARD = api.Plan(2.0, 20.0, 0, 1.0, 0.0, 0.8, 0.0, 0.0)
+SOFT = api.Plan(2.0, 20.0, 0, 1.0, 0.2, 0.0, 0.0, 0.0)
+CEILED = api.Plan(10.0, 20.0, 0, 1.0, 0.0, 0.5, 20.0, 40.0)
+OPEN = api.Plan(2.0, 20.0, 2, 1.0, 0.0, 0.6, 0.0, 0.0)
+
+
+def terms(products: tuple[api.Product, ...] = (ONCE, INQUIRY), plans: tuple[api.Plan, ...] = (HARD,),
+          **other: Any) -> api.Terms:
+    plain = api.Terms(
+        ordinal=0, gatekeepers=2, zone=0, products=products, plans=plans, top_units=6.0, counter=True,
+        counter_wait_ms=50.0, probes=False, cancel=True, second_copies=False, retry_after_ms=500.0,
+        submissions=3, cold_from=0.2, cold_ms=10000.0, fall_multiple=3.0, fall_ms=2000.0, zone_fee=0.0,
+        load_names=())
+    return dataclasses.replace(plain, **other)
+
+
+class Stage:
+    """One gatekeeper, its clock and the trace of what it does. Totals are told by the test."""
+
+    def __init__(self, workers: int = 4, born: float | None = None, **other: Any) -> None:
+        self.keeper, self.now, self.trace, self.ids = Gatekeeper(7, terms(**other)), 100000.0, list[str](), 0
+        self.out: dict[int, list[int]] = {}     # txn: workers it was sent to
+        self.adds: list[api.Add] = []
+        self.keeper.start(self.now)
+        rows = tuple(self.row(w, api.Health.READY, born) for w in range(workers))
+        self.play(api.Listed(True, rows))
+        self.tick()
+
+    @staticmethod
+    def row(worker: int, health: api.Health, born: float | None = None) -> api.Entry:
+        return api.Entry(worker, worker % 2, worker % 2, "std", health, born, 1.0)
+
+    def play(self, event: api.Event) -> list[api.Action]:
+        actions = self.keeper.handle(self.now, event)
+        for a in actions:
+            if isinstance(a, api.Submit):
+                self.out.setdefault(a.txn, []).append(a.worker)
+            if isinstance(a, api.Add):
+                self.adds.append(a)
+            self.note(a)
+        return actions
+
+    def note(self, a: api.Action | str) -> None:
+        at = f"{self.now - 100000:7.0f}  "
+        match a:
+            case str():
+                self.trace.append(at + "-- " + a)
+            case api.Submit():
+                self.trace.append(at + f"submit txn {a.txn} to worker {a.worker}")
+            case api.Decline():
+                self.trace.append(at + f"decline txn {a.txn}, back in {a.retry_after_ms:.0f} ms")
+            case api.Void():
+                self.trace.append(at + f"void txn {a.txn}")
+            case api.Cancel():
+                self.trace.append(at + f"call off txn {a.txn}, submission {a.submission}")
+            case api.Add():
+                self.trace.append(at + f"add {a.amount:g}")
+            case api.Say():
+                self.trace.append(at + "log: " + a.text)
+
+    def txn(self, product: int = 1, units: float = 1.0, customer: int = 1, left: float = 5000.0,
+            gates: int = 2) -> int:
+        self.ids += 1
+        self.play(api.Txn(self.ids, left, 0, customer, product, units, False, gates, 0))
+        return self.ids
+
+    def answer(self, txn: int, end: api.End = api.End.SETTLED, took: float = 50.0, final: bool | None = None,
+               units: float = 0.0) -> None:
+        sent = self.out[txn]
+        done = end is api.End.SETTLED if final is None else final
+        self.play(api.Answer(txn, len(sent) - 1, sent[-1], end, took, done, units, {}))
+
+    def total(self, total: float, end: api.End = api.End.SETTLED) -> None:
+        self.play(api.Total(self.adds.pop(0).name, end, total, 2.0))
+
+    def tick(self, ms: float = 100.0) -> None:
+        for _ in range(round(ms / 100)):
+            self.now += 100
+            self.play(api.Due(0))
+
+
+class TraceCase(unittest.TestCase):
+    def same(self, stage: Stage, name: str) -> None:
+        """The trace must be the one kept in traces/; a person reads the difference."""
+        kept = (TRACES / f"{name}.txt").read_text().splitlines()
+        change = list(difflib.unified_diff(kept, stage.trace, "kept", "now", lineterm="", n=2))
+        self.assertFalse(change, "\n" + "\n".join(change))
