--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -43,7 +43,7 @@
 ROOM_START, ROOM_LEAST, ROOM_SHRINK, ROOM_GROW = 6.0, 1.0, 0.9, 1.04   # out a worker, by all gateways
 LATE_AT, LATE_STEP = 0.8, 0.05           # an answer is late beyond this part of the SLA time
 LATE_MOST, LATE_FEW = 0.12, 0.06         # shares of late answers that shrink the room, and let it grow
-LOWER_ROOM = 0.85       # a class may fill this part of the room of the class above it
+LOWER_ROOM = 0.7        # a class may fill this part of the room of the class above it
 NO_ROOM_WAIT, TICK_MS = (0.3, 1.0), 100.0   # parts of the longest wait, advised when there is no room
 
 FIT, RESTING, TRIAL, DROPPED = "fit", "resting", "trial", "dropped"
@@ -501,7 +501,7 @@
         if self.late > LATE_MOST:
             less = ROOM_SHRINK * min(self.room, self.outs + 1.0)
             self.room = min(self.room, max(ROOM_LEAST * self.fleet, less))
-        elif self.late < LATE_FEW and self.outs > 0.7 * self.room:
+        elif self.late < LATE_FEW and self.outs > 0.5 * self.room:
             self.room *= ROOM_GROW
         word = "late" * (self.late > LATE_MOST) or "in time" * (self.late < LATE_FEW)
         self.step(MODE_TABLE, self.back_end, word)
