Room by Little's law from the pace of answers, in place of late shares

Cause: after a rush the late answers of the backlog went on cutting the room, to its floor, for ten seconds.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -40,9 +40,8 @@
 REST_MS, REST_MOST_MS, FULL_REST_MS = 1000.0, 6000.0, 150.0
 COLD_PART = 0.4         # of the multiple under which a cold worker must stay
 RESEND_PART, RESEND_SAVED = 0.15, 20.0   # resubmissions to first submissions
-ROOM_START, ROOM_LEAST, ROOM_SHRINK, ROOM_GROW = 6.0, 1.0, 0.9, 1.04   # out a worker, by all gateways
-LATE_AT, LATE_STEP = 0.8, 0.05           # an answer is late beyond this part of the SLA time
-LATE_MOST, LATE_FEW = 0.12, 0.06         # shares of late answers that shrink the room, and let it grow
+ROOM_SLA, ROOM_LEAST = 0.8, 2.0   # out at once: what settles in this part of the least SLA time; least a worker
+PACE_MS, PRESSED_AT, QUIET_AT = 1000.0, 0.7, 0.4   # memory of the pace; parts of the room where modes change
 LOWER_ROOM = 0.7        # a class may fill this part of the room of the class above it
 NO_ROOM_WAIT, TICK_MS = (0.3, 1.0), 100.0   # parts of the longest wait, advised when there is no room
 
@@ -139,7 +138,8 @@
         self.missed, self.call_at, self.call_tokens = 0, 0.0, CALLS_SAVED
         self.high = [p.sla_ms / 2 for p in terms.products]    # high quantile of answer times
         self.listing, self.outs, self.weights, self.warm_mean = 0, 0, 1.0, 0.0
-        self.room, self.late, self.full_at, self.resends, self.fleet = 0.0, 0.0, -1e12, RESEND_SAVED, 1.0
+        self.room, self.pace, self.full_at, self.resends, self.fleet = 0.0, 0.0, -1e12, RESEND_SAVED, 1.0
+        self.room_ms = ROOM_SLA * min(p.sla_ms for p in terms.products)
 
     def start(self, _now: float) -> list[api.Action]:
         return [api.Wake(TICK_MS, 0)]
@@ -174,7 +174,7 @@
                 self.step(WORKER_TABLE, w, "dropped")
         self.listing += 1
         self.fleet = max(1.0, sum(w.state is not DROPPED for w in self.workers.values()) / self.gatekeepers)
-        self.room = self.room or ROOM_START * self.fleet
+        self.room = max(self.room, ROOM_LEAST * self.fleet)
 
     def pick(self, h: Held) -> Worker | None:
         """First in the customer's rank that has not enough; else the least loaded."""
@@ -439,13 +439,11 @@
 
     def judge(self, w: Worker, e: api.Answer, h: Held | None) -> None:
         silent = e.end is End.TIMEOUT and w.heard_at < self.now - e.took_ms
-        late = e.end is End.FULL or e.end is End.TIMEOUT and not silent
         if e.end in (End.SETTLED, End.ERROR, End.FULL):
             w.heard_at = self.now
         if e.end is End.SETTLED and h is not None:
             k = h.product
-            late = e.took_ms > LATE_AT * self.products[k].sla_ms
-            self.late -= LATE_STEP * self.late * (not late)
+            self.pace += 1 / PACE_MS
             self.high[k] *= 1 + HIGH_STEP * (QUANTILE - (e.took_ms <= self.high[k]))
             slow = w.slow * (1 + SLOW_STEP * (QUANTILE - (e.took_ms <= w.slow * self.high[k])))
             w.slow = min(SLOW_MOST, max(SLOW_LEAST, slow))
@@ -459,8 +457,6 @@
         elif e.end is End.FULL:
             self.full_at, w.until = self.now, self.now + FULL_REST_MS
             self.step(WORKER_TABLE, w, "full")
-        if late:
-            self.late += LATE_STEP * (1 - self.late)
 
     def rest(self, w: Worker) -> None:
         """What may run again is called off a sick worker, and goes elsewhere."""
@@ -497,19 +493,15 @@
             del self.accounts[a.customer]
 
     def make_room(self) -> None:
-        """Guards against the spiral of late answers, whatever slows the workers: fewer are out at once."""
-        if self.late > LATE_MOST:
-            less = ROOM_SHRINK * min(self.room, self.outs + 1.0)
-            self.room = min(self.room, max(ROOM_LEAST * self.fleet, less))
-        elif self.late < LATE_FEW and self.outs > 0.5 * self.room:
-            self.room *= ROOM_GROW
-        word = "late" * (self.late > LATE_MOST) or "in time" * (self.late < LATE_FEW)
-        self.step(MODE_TABLE, self.back_end, word)
-        self.late *= 1 - LATE_STEP / 5
+        """Guards against the spiral of late answers, whatever slows the workers: no more is out than what
+        settles, at the present pace, within the least SLA time (Little's law)."""
+        self.room = max(ROOM_LEAST * self.fleet, self.pace * self.room_ms)
+        self.pace *= 1 - TICK_MS / PACE_MS
+        part = self.outs / self.room
+        self.step(MODE_TABLE, self.back_end, "full" * (part > PRESSED_AT) or "slack" * (part < QUIET_AT))
 
     def tell(self, mode: Mode) -> None:
-        self.say(f"{mode.state}: {self.missed} counter calls missed, late {self.late:.2f}, out {self.outs}, "
-                 f"room {self.room:.0f}")
+        self.say(f"{mode.state}: {self.missed} counter calls missed, out {self.outs}, room {self.room:.0f}")
 
 
 def portions(source: tuple[float, ...], n: int) -> list[float]:
@@ -541,8 +533,8 @@
 MODE_TABLE: Table = {
     (HEARD, "missed"): (BLIND, Gatekeeper.tell),
     (BLIND, "told"): (HEARD, Gatekeeper.tell),
-    (QUIET, "late"): (PRESSED, Gatekeeper.tell),
-    (PRESSED, "in time"): (QUIET, Gatekeeper.tell),
+    (QUIET, "full"): (PRESSED, Gatekeeper.tell),
+    (PRESSED, "slack"): (QUIET, Gatekeeper.tell),
 }
 HANDLERS: dict[type, Callable[..., None]] = {
     api.Listed: Gatekeeper.on_listed, api.Txn: Gatekeeper.on_txn, api.Answer: Gatekeeper.on_answer,
