--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -40,9 +40,10 @@
 REST_MS, REST_MOST_MS, FULL_REST_MS = 1000.0, 6000.0, 150.0
 COLD_PART = 0.4         # of the multiple under which a cold worker must stay
 RESEND_PART, RESEND_SAVED = 0.15, 20.0   # resubmissions to first submissions
-ROOM_SLA, ROOM_LEAST = 0.8, 2.0   # out at once: what settles in this part of the least SLA time; least a worker
-PACE_MS, PRESSED_AT, QUIET_AT = 1000.0, 0.7, 0.4   # memory of the pace; parts of the room where modes change
-LOWER_ROOM = 0.7        # a class may fill this part of the room of the class above it
+WAIT_SLA, ROOM_LEAST = 0.3, 3.5   # part of the least SLA time to spend waiting; least out by worker
+PACE_MS, CALM_STEP = 1000.0, 0.02      # memory of the pace, and step of the mean answer time while quiet
+PRESSED_AT, QUIET_AT = 0.7, 0.4        # parts of the room where the mode changes
+LOWER_ROOM = 0.75       # a class may fill this part of the room of the class above it
 NO_ROOM_WAIT, TICK_MS = (0.3, 1.0), 100.0   # parts of the longest wait, advised when there is no room
 
 FIT, RESTING, TRIAL, DROPPED = "fit", "resting", "trial", "dropped"
@@ -139,7 +140,8 @@
         self.high = [p.sla_ms / 2 for p in terms.products]    # high quantile of answer times
         self.listing, self.outs, self.weights, self.warm_mean = 0, 0, 1.0, 0.0
         self.room, self.pace, self.full_at, self.resends, self.fleet = 0.0, 0.0, -1e12, RESEND_SAVED, 1.0
-        self.room_ms = ROOM_SLA * min(p.sla_ms for p in terms.products)
+        self.wait_ms = WAIT_SLA * min(p.sla_ms for p in terms.products)
+        self.calm_ms = self.wait_ms         # mean answer time while quiet
 
     def start(self, _now: float) -> list[api.Action]:
         return [api.Wake(TICK_MS, 0)]
@@ -444,6 +446,7 @@
         if e.end is End.SETTLED and h is not None:
             k = h.product
             self.pace += 1 / PACE_MS
+            self.calm_ms += CALM_STEP * (e.took_ms - self.calm_ms) * (self.back_end.state is QUIET)
             self.high[k] *= 1 + HIGH_STEP * (QUANTILE - (e.took_ms <= self.high[k]))
             slow = w.slow * (1 + SLOW_STEP * (QUANTILE - (e.took_ms <= w.slow * self.high[k])))
             w.slow = min(SLOW_MOST, max(SLOW_LEAST, slow))
@@ -494,8 +497,8 @@
 
     def make_room(self) -> None:
         """Guards against the spiral of late answers, whatever slows the workers: no more is out than what
-        settles, at the present pace, within the least SLA time (Little's law)."""
-        self.room = max(ROOM_LEAST * self.fleet, self.pace * self.room_ms)
+        settles, at the present pace, in a calm answer's time and a part of the least SLA time."""
+        self.room = max(ROOM_LEAST * self.fleet, self.pace * (self.calm_ms + self.wait_ms))
         self.pace *= 1 - TICK_MS / PACE_MS
         part = self.outs / self.room
         self.step(MODE_TABLE, self.back_end, "full" * (part > PRESSED_AT) or "slack" * (part < QUIET_AT))
