--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -8,7 +8,7 @@
  1. ceiling: held evenly in part, the rest leased per short window, so no failure lets it be passed
  2. choice of worker: hashed ranking, the next when one has enough (bounded load, weighed by health)
  3. health: a high quantile of answer times against the fellows', failures, silence; rest and trial
- 4. room: what is out at once shrinks when answers come late, the higher classes keep more of it
+ 4. room: what is out at once follows the pace of answers, the higher classes keep more of it
  5. cold budget: a starting worker is sent a part of what its warm fellows settle
  6. resubmission: what may run again is sent elsewhere, within a part of the first submissions
 """
