Others' guessed rate leaves this gateway its even part of the fill

Cause: a gateway that had seen others spend at the whole rate guessed so until its next total, and refused at an empty store; passive gateways meanwhile saw nothing. Also guards the blind counter: it falls back on the even part. Harm: a customer gathered elsewhere may pass its quota by our part.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -289,10 +289,12 @@
         if plan.ceiling_rate:
             part = 1 / a.gates
             a.ceiling = min(part * plan.ceiling_burst, a.ceiling + part * plan.ceiling_rate * dt)
+        others = plan.rate * (1 - 1 / a.gates)      # our even part of the fill is never guessed away
+        fair = min(1.0, others / max(sum(a.rate), 1e-9))
         for c, rate in enumerate(a.rate):
-            a.use[c] += rate * dt
-            a.guess[c] += rate * dt
-            a.spent[c] += rate * dt
+            a.use[c] += fair * rate * dt
+            a.guess[c] += fair * rate * dt
+            a.spent[c] += fair * rate * dt
             a.mine[c] *= max(0.0, 1 - dt / RATE_MEMORY_MS)
         if (total := sum(a.use)) > 0:
             keep = max(0.0, min(1 - plan.rate * dt / total, plan.quota / total))
