A txn that stale totals would refuse, or grant beyond quota / gateways, waits for fresh ones

Cause: passive gateways saw nothing of a busy customer, refusing ones kept to old totals. It waits some ms, at most the counter's own time-out, and only if the client has twice that. Harm: a slow counter delays such txns by up to its time-out.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -16,6 +16,7 @@
 
 import random
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 from drumgw import interface as api
@@ -25,7 +26,7 @@
 NAME_WINDOWS = 8        # a count's name changes every so many windows
 BLOCK_MS, BLOCK_PART = 1500.0, 0.25   # a block covers this much demand here, this part of the quota at most
 QUIET_PART = 0.1        # below this part of the quota a customer's use is kept to ourselves
-STALE_PART = 0.25       # a total older than this part of a window is read again when it refuses
+STALE_PART, KNOWN_WINDOWS = 0.7, 2.0   # windows after which a total is read before it refuses, or grants
 CALLS_PER_TXN, CALLS_SAVED = 0.25, 20.0
 MISSES, BLIND_RETRY_MS = 3, 400.0      # calls missed in a row until judged blind; then one call in this time
 RATE_MEMORY_MS, IDLE_MS = 3000.0, 20000.0   # how long rates are kept in mind; and books unused
@@ -35,14 +36,12 @@
 QUANTILE, HIGH_STEP, SLOW_STEP = 0.9, 0.03, 0.1   # the high quantile and how fast it is followed
 SLOW_LEAST, SLOW_MOST = 0.67, 5.0                 # bounds of a worker's quantile to its fellows'
 FAILURE_STEP, SICK_FAILURES = 0.2, 0.3   # share of failures that rests a worker
-SILENT = 2.0            # high quantiles after which a submission is overdue
-OVERDUE = 2.0           # two such, or one this many times as old, with no answer since, rest their worker
+SILENT, OVERDUE = 2.0, 2.0   # high quantiles to be overdue; two such, or one twice as old, rest their worker
 REST_MS, REST_MOST_MS, FULL_REST_MS = 1000.0, 6000.0, 150.0
 COLD_PART = 0.4         # of the multiple under which a cold worker must stay
 RESEND_PART, RESEND_SAVED = 0.15, 20.0   # resubmissions to first submissions
 WAIT_SLA, ROOM_LEAST = 0.3, 3.5   # part of the least SLA time to spend waiting; least out by worker
-PACE_MS, CALM_STEP = 1000.0, 0.02      # memory of the pace, and step of the mean answer time while quiet
-PRESSED_AT, QUIET_AT = 0.7, 0.4        # parts of the room where the mode changes
+PACE_MS, CALM_STEP, PRESSED_AT, QUIET_AT = 1000.0, 0.02, 0.7, 0.4   # modes change at these parts of the room
 LOWER_ROOM = 0.75       # a class may fill this part of the room of the class above it
 NO_ROOM_WAIT, TICK_MS = (0.3, 1.0), 100.0   # parts of the longest wait, advised when there is no room
 
@@ -62,11 +61,6 @@
     return x >> 1
 
 
-class Mode:     # a state of the gateway as a whole
-    def __init__(self, state: str) -> None:
-        self.state = state
-
-
 class Worker:
     """One worker. Dropped when the list lacks it and nothing is out."""
 
@@ -103,9 +97,10 @@
         self.use, self.spent, self.last = ([0.0] * classes for _ in range(3))   # all gateways'; by window
         self.rate, self.guess = ([0.0] * classes for _ in range(2))       # others', since the last total
         self.mine, self.lease, self.unsure, self.total = ([0.0] * classes for _ in range(4))
-        self.epoch, self.asked, self.told = [-1] * classes, [False] * (classes + 1), [now] * classes
+        self.epoch, self.asked, self.told = [-1] * classes, [False] * (classes + 1), [-1e12] * classes
         self.out, self.ceiling = 0, 0.0     # a fresh gateway can't know what its predecessor spent
         self.pool, self.pool_epoch, self.pool_open = 0.0, -1, True
+        self.waiting = list[Held]()     # for totals; emptied by their answers
         self.ranking, self.ranked = list[Worker](), -1
 
 
@@ -127,7 +122,8 @@
         by_value = sorted(range(len(terms.products)), key=lambda i: -terms.products[i].value)
         self.rank = {p: r for r, p in enumerate(by_value)}
         self.shares, self.floors = portions(SHARES, len(by_value)), portions(FLOORS, len(by_value))
-        self.has_counter, self.can_cancel, self.top_units = terms.counter, terms.cancel, terms.top_units
+        self.has_counter, self.counter_wait = terms.counter, terms.counter_wait_ms
+        self.can_cancel, self.top_units = terms.cancel, terms.top_units
         self.longest_wait, self.most = terms.retry_after_ms, terms.submissions
         self.cold_from, self.cold_ms = terms.cold_from, terms.cold_ms
         self.cold_multiple = COLD_PART * terms.fall_multiple
@@ -135,7 +131,7 @@
         self.accounts: dict[int, Account] = {}
         self.held: dict[int, Held] = {}
         self.calls: dict[int, list[tuple[Account, int, float, int]]] = {}   # emptied by answers
-        self.counter, self.back_end = Mode(HEARD), Mode(QUIET)
+        self.counter, self.back_end = SimpleNamespace(state=HEARD), SimpleNamespace(state=QUIET)
         self.missed, self.call_at, self.call_tokens = 0, 0.0, CALLS_SAVED
         self.high = [p.sla_ms / 2 for p in terms.products]    # high quantile of answer times
         self.listing, self.outs, self.weights, self.warm_mean = 0, 0, 1.0, 0.0
@@ -163,17 +159,16 @@
     # The worker list and the choice of worker
 
     def on_listed(self, e: api.Listed) -> None:
-        named = {entry.worker for entry in e.entries}
+        gone = set(self.workers) - {entry.worker for entry in e.entries} if e.whole else set[int]()
         for entry in e.entries:
             w = self.workers.get(entry.worker)
             if entry.health is not Health.READY:
-                self.step(WORKER_TABLE, w or Mode(DROPPED), "dropped")
+                gone.add(entry.worker)
             elif w is None or w.state is DROPPED or (entry.born_ms or 0) > (w.born or 0):
                 self.workers[entry.worker] = Worker(entry, self.now, self.chance.random())
                 self.workers[entry.worker].out = w.out if w else {}
-        for w in self.workers.values():
-            if e.whole and w.wid not in named:
-                self.step(WORKER_TABLE, w, "dropped")
+        for wid in gone & set(self.workers):
+            self.step(WORKER_TABLE, self.workers[wid], "dropped")
         self.listing += 1
         self.fleet = max(1.0, sum(w.state is not DROPPED for w in self.workers.values()) / self.gatekeepers)
         self.room = max(self.room, ROOM_LEAST * self.fleet)
@@ -204,9 +199,8 @@
         return w.state in (FIT, TRIAL) and (self.warmth(w) >= 1.0 or self.cold_tokens(w) >= 1.0)
 
     def warmth(self, w: Worker) -> float:
-        if w.born is None or self.cold_ms <= 0:
-            return 1.0
-        return min(1.0, self.cold_from + (1 - self.cold_from) * (self.now - w.born) / self.cold_ms)
+        age = 1.0 if w.born is None else (self.now - w.born) / max(1.0, self.cold_ms)
+        return min(1.0, self.cold_from + (1 - self.cold_from) * age)
 
     def cold_tokens(self, w: Worker) -> float:
         """Guards cold workers: a part of what warm fellows settle here, so all gateways keep the rule."""
@@ -224,10 +218,18 @@
         self.age(a)
         a.seen_at = self.now
         h = self.held[t.txn] = Held(t, a, self.rank[t.product], self.now)
-        h.wait = self.lacks(h)
+        self.decide(h, t.left_ms < 2 * self.counter_wait)
+
+    def decide(self, h: Held, sure: bool) -> None:
+        """What stale totals would refuse, or grant beyond quota / gateways, waits once for fresh ones."""
+        a, plan, h.wait = h.account, h.account.plan, self.lacks(h)
+        unknown = sum(a.use) + h.units > plan.quota / a.gates and (
+            self.now - max(a.told) > KNOWN_WINDOWS * plan.window)
+        if not sure and (h.wait or unknown and not plan.soft) and self.refresh(a):
+            return a.waiting.append(h)
         if not h.wait and self.outs >= self.room * LOWER_ROOM ** h.rank:
             h.wait = max(1.0, self.longest_wait * self.chance.uniform(*NO_ROOM_WAIT))
-        self.step(TXN_TABLE, h, "refused" if h.wait else "admitted")
+        return self.step(TXN_TABLE, h, "refused" if h.wait else "admitted")
 
     def lacks(self, h: Held) -> float:
         """The design: own share, else borrowing, else past a soft quota. 0: pass; else how long to wait."""
@@ -244,12 +246,10 @@
             lack = max(lack, units)
         elif lack <= 0 and a.use[c] + units > self.shares[c] * plan.quota:
             lack = units - (spare - self.reserved_above(a, c))
-        if lack <= 0:
-            return 0.0
-        h.over = plan.soft and self.back_end.state is QUIET and self.now - self.full_at > plan.window
-        if h.over:
+        quiet = self.back_end.state is QUIET and self.now - self.full_at > plan.window
+        h.over = lack > 0 and plan.soft and quiet
+        if lack <= 0 or h.over:
             return 0.0
-        self.refresh(a)
         return max(1.0, lack / plan.rate) if plan.rate else self.longest_wait
 
     def reserved_above(self, a: Account, c: int) -> float:
@@ -283,8 +283,7 @@
             self.call(a, c, self.block(a, c) - a.lease[c])
 
     def age(self, a: Account) -> None:
-        """The store fills: use leaks at the plan's rate. What others spend meanwhile is guessed, which guards
-        against stale totals: late, missing or wrong ones."""
+        """The store fills, so use leaks. Others' use is guessed: guards against late or missing totals."""
         dt, plan, a.at = self.now - a.at, a.plan, self.now
         if plan.ceiling_rate:
             part = 1 / a.gates
@@ -314,19 +313,19 @@
         return a.pool
 
     def grant_pool(self, a: Account, amount: float, epoch: int, e: api.Total) -> None:
-        """Only what was surely added, in its own window, within the pool: a counter that forgets may grant a
-        window's pool twice, which the parts above leave room for."""
+        """Only what was surely added, in its own window. The parts leave room for a pool granted twice."""
         if e.end is End.SETTLED and self.pool(a) >= 0 and epoch == a.pool_epoch:
             a.pool += max(0.0, min(amount, a.plan.pool - (e.total - amount)))
             a.pool_open = e.total < a.plan.pool
 
     # The counter
 
-    def refresh(self, a: Account) -> None:
-        """Before stale totals refuse more, the oldest is read again."""
-        c = min(range(len(a.told)), key=lambda i: a.told[i])
-        if self.now - a.told[c] > STALE_PART * a.plan.window:
-            self.call(a, c, max(0.0, -a.lease[c]))
+    def refresh(self, a: Account) -> bool:
+        """Stale totals are read again. True while any answer is out."""
+        for c, told in enumerate(a.told):
+            if self.now - told > STALE_PART * a.plan.window and not a.asked[POOL]:
+                self.call(a, c, max(0.0, -a.lease[c]))
+        return any(a.asked)
 
     def call(self, a: Account, c: int, amount: float) -> None:
         span = NAME_WINDOWS * a.plan.window
@@ -359,6 +358,9 @@
                 self.learn(a, c, amount, e.total, epoch)
             else:
                 a.unsure[c] += amount
+        while a.waiting and not any(a.asked):
+            if (h := a.waiting.pop(0)).txn in self.held:
+                self.decide(h, True)
         self.missed = 0 if e.end is End.SETTLED else self.missed + 1
         self.step(MODE_TABLE, self.counter, "missed" * (self.missed >= MISSES) or "told" * (not self.missed))
 
@@ -435,8 +437,9 @@
 
     def on_left(self, e: api.Left) -> None:
         if (h := self.held.get(e.txn)) is not None:
-            h.account.out -= 1
-            self.acts += [api.Cancel(h.txn, len(h.tried) - 1)] * self.can_cancel
+            if h.tried:
+                h.account.out -= 1
+                self.acts += [api.Cancel(h.txn, len(h.tried) - 1)] * self.can_cancel
             self.step(TXN_TABLE, h, "left")
 
     # Health
@@ -498,14 +501,13 @@
             del self.accounts[a.customer]
 
     def make_room(self) -> None:
-        """Guards against the spiral of late answers, whatever slows the workers: no more is out than what
-        settles, at the present pace, in a calm answer's time and a part of the least SLA time."""
+        """Guards against a spiral of late answers: out is what settles in a calm answer's time and a wait."""
         self.room = max(ROOM_LEAST * self.fleet, self.pace * (self.calm_ms + self.wait_ms))
         self.pace *= 1 - TICK_MS / PACE_MS
         part = self.outs / self.room
         self.step(MODE_TABLE, self.back_end, "full" * (part > PRESSED_AT) or "slack" * (part < QUIET_AT))
 
-    def tell(self, mode: Mode) -> None:
+    def tell(self, mode: SimpleNamespace) -> None:
         self.say(f"{mode.state}: {self.missed} counter calls missed, out {self.outs}, room {self.room:.0f}")
 
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -89,6 +89,12 @@
     def total(self, total: float, end: api.End = api.End.SETTLED) -> None:
         self.play(api.Total(self.adds.pop(0).name, end, total, 2.0))
 
+    def totals(self, total: float) -> None:
+        """Answers every call that is out with this total."""
+        adds, self.adds = self.adds, []
+        for add in adds:
+            self.play(api.Total(add.name, api.End.SETTLED, total, 2.0))
+
     def tick(self, ms: float = 100.0) -> None:
         for _ in range(round(ms / 100)):
             self.now += 100
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -44,6 +44,22 @@
         s.answer(s.txn(1, 1.0), units=1.0)
         self.same(s, "leases")
 
+    def test_a_txn_waits_for_the_total_that_may_save_it(self) -> None:
+        s = Stage(gatekeepers=2)
+        s.note("12 units at once pass quota / gateways and nothing is known: held until the totals come")
+        s.txn(1, 12.0)
+        s.note("others have spent 2 of each class: it fits")
+        s.totals(2.0)
+        s.totals(19.0)
+        s.tick(3000)
+        s.note("seems used up, and the totals say so")
+        s.txn(1, 13.0)
+        s.totals(32.0)
+        s.note("the client has too little time: decided at once")
+        s.tick(3000)
+        s.txn(1, 16.0, left=60.0)
+        self.same(s, "waits")
+
     def test_counter_blind_and_forgetful(self) -> None:
         s = Stage()
         s.answer(s.txn(1, 3.0))
