--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -25,7 +25,7 @@
 SHARES, FLOORS = (0.70, 0.20, 0.10), (0.70, 0.10, 0.05)   # the source's; classes ranked by value
 NAME_WINDOWS = 8        # a count's name changes every so many windows
 BLOCK_MS, BLOCK_PART = 1500.0, 0.25   # a block covers this much demand here, this part of the quota at most
-QUIET_PART = 0.1        # below this part of the quota a customer's use is kept to ourselves
+QUIET_PART, CAUTION = 0.1, 0.15   # parts of the quota: use kept to ourselves; kept back, by passing's cost
 STALE_PART, KNOWN_WINDOWS = 0.7, 2.0   # windows after which a total is read before it refuses, or grants
 CALLS_PER_TXN, CALLS_SAVED = 0.25, 20.0
 MISSES, BLIND_RETRY_MS = 3, 400.0      # calls missed in a row until judged blind; then one call in this time
@@ -78,10 +78,10 @@
     """The few figures that decisions use of a plan. The window is the time in which its store fills."""
 
     def __init__(self, p: api.Plan, counter: bool) -> None:
-        self.rate = p.rate / 1000.0
-        self.quota = p.burst if p.rate else float("inf")
+        self.rate, self.quota = p.rate / 1000.0, p.burst if p.rate else float("inf")
         self.window = p.burst / self.rate if p.rate else 1000.0
         self.open_cap, self.soft = p.open_cap, p.over_value > p.over_cost
+        self.usable = self.quota * max(0.5, 1 - CAUTION * p.over_cost)
         own = CEILING_OWN if counter else 1.0
         self.ceiling_rate, self.ceiling_burst = own * p.ceiling_rate / 1000.0, own * p.ceiling_burst
         self.pool_ms = POOL_PART * 1000.0 * p.ceiling_burst / p.ceiling_rate if p.ceiling_rate else 0.0
@@ -240,7 +240,7 @@
                 self.add(a, POOL, max(self.top_units, plan.pool * BLOCK_PART), a.pool_epoch, 2 * plan.pool_ms)
             if lack > 0:
                 return max(1.0, lack * a.gates / plan.ceiling_rate)
-        spare = plan.quota - sum(a.use)
+        spare = plan.usable - sum(a.use)
         lack = units - spare
         if plan.open_cap and a.out >= max(1, plan.open_cap // a.gates):
             lack = max(lack, units)
