--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -33,15 +33,20 @@
         s.txn(1, 10.0)
         self.same(s, "soft")
 
+    def test_true_units_settle_the_books(self) -> None:
+        s = Stage(counter=False)
+        s.note("12 units guessed, 2 true: another 12 fit; 12 true: no more do")
+        s.answer(s.txn(1, 12.0), units=2.0)
+        s.answer(s.txn(1, 12.0), units=12.0)
+        s.txn(1, 12.0)
+        self.same(s, "settles")
+
     def test_leases_and_totals(self) -> None:
         s = Stage()
         s.answer(s.txn(1, 3.0))
-        s.note("others took 16 of 20 units")
+        s.note("others took 14.5 units since the name began, of which most have leaked: it fits")
         s.total(19.0)
         s.txn(1, 3.0)
-        s.note("true units settle the books: 3 guessed, 1 true")
-        s.tick(500)
-        s.answer(s.txn(1, 1.0), units=1.0)
         self.same(s, "leases")
 
     def test_a_txn_waits_for_the_total_that_may_save_it(self) -> None:
@@ -143,12 +148,12 @@
         s.total(6.0)
         s.txn(0, 4.0)
         s.txn(0, 3.0)
+        s.totals(0.0)
         s.note("an answer that comes a window late grants nothing")
         s.tick(500)
-        s.txn(0, 6.0)
+        s.txn(0, 9.0)
         s.tick(500)
-        s.total(0.5)
-        s.txn(0, 4.0)
+        s.totals(6.0)
         self.same(s, "ceiling")
 
 
