--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -37,7 +37,7 @@
 LATE_STEP, LATE_MOST, LATE_FADE_MS = 0.1, 0.3, 18000.0   # share of late answers: followed, borne, forgotten
 RESEND_PART, RESEND_SAVED, COLD_PART = 0.15, 20.0, 0.4   # to first submissions; of the multiple that fells
 PACE_MS, CALM_STEP, PRESSED_AT, QUIET_AT, FILL_STEP = 1000.0, 0.02, 0.7, 0.4, 0.3   # parts of the room
-WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 1.4, 0.75   # by worker; by gateway
+WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 1.5, 0.75   # by worker; by gateway
 TICK_MS, SHED_MORE, SHED_LESS, NO_ROOM_WAIT = 100.0, 0.05, 0.015, (0.3, 1.0)   # classes shed a tick; advised
 
 FIT, RESTING, TRIAL, NEW, OUT, DONE, ANY = "fit", "resting", "trial", "new", "out", "done", "any"
@@ -499,8 +499,8 @@
 
     def make_room(self) -> None:
         """Guards against a spiral of late answers: out is what settles in a calm answer's time and a wait."""
-        least = ROOM_LEAST * self.fleet
-        least = max(1.0, least) if self.late > LATE_MOST else max(ROOM_CALM, ROOM_MORE * least)
+        least, calm = ROOM_LEAST * self.fleet, ROOM_MORE - (ROOM_MORE - 1) * self.late / LATE_MOST
+        least = max(1.0, least) if self.late > LATE_MOST else max(ROOM_CALM, calm * least)
         self.room = max(least, self.pace * (self.calm_ms + self.wait_ms))
         self.pace, self.late = self.pace * (1 - TICK_MS / PACE_MS), self.late * (1 - TICK_MS / LATE_FADE_MS)
         more = SHED_MORE if self.late > LATE_MOST else -SHED_LESS
