--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -28,8 +28,8 @@
 ASK_FIRST, ASK_LEAST, ASK_MORE, ASK_LESS = 100.0, 0.1, 0.04, 0.8   # odds of a call; first / gatekeepers
 PROMPT, MISSES = 0.3, 3               # part of its time-out in which the counter is well; misses until blind
 HOLD_MS, STALL_MS = 2100.0, 300.0     # who is held for a total has this time; no event so long: we stood
-RATE_MEMORY_MS, IDLE_MS = 3000.0, 20000.0       # how long rates are kept in mind; and books unused
-NEAR_LEAST, NEAR_PART, GOLDEN = 8, 4.0, 0.618   # workers used: so many, or this multiple of our part
+RATE_MEMORY_MS, IDLE_MS, SWEEP_ODDS = 3000.0, 20000.0, 0.02   # rates kept in mind; books unused, swept
+NEAR_LEAST, NEAR_PART, NEAR_FEW, GOLDEN = 8, 4.0, 3, 0.618   # workers used: most, or by our part; least
 ENOUGH, QUANTILE, HIGH_STEP = 1.3, 0.9, 0.03    # multiple of a fair part; the high quantile, and its pace
 SLOW_STEP, SLOW_STEP_MOST, SLOW_LEAST, SLOW_MOST = 0.1, 0.5, 0.67, 5.0   # a worker's to its fellows'
 FAILURE_STEP, SICK_FAILURES, FULL_REST_MS = 0.2, 0.15, 150.0    # share of failures that rests a lane
@@ -112,9 +112,8 @@
         self.rank, self.classes = {p: r for r, p in enumerate(by_value)}, len(by_value)
         self.shares, self.floors = portions(SHARES, self.classes), portions(FLOORS, self.classes)
         self.has_counter, self.counter_wait = terms.counter, terms.counter_wait_ms
-        self.can_cancel, self.top_units = terms.cancel, terms.top_units
-        self.longest_wait, self.submissions = terms.retry_after_ms, terms.submissions
-        self.cold_from, self.cold_ms = terms.cold_from, terms.cold_ms
+        self.can_cancel, self.top_units, self.submissions = terms.cancel, terms.top_units, terms.submissions
+        self.longest_wait, self.cold_from, self.cold_ms = terms.retry_after_ms, terms.cold_from, terms.cold_ms
         self.workers, self.around = dict[int, Worker](), list[Worker]()     # all; listed, nearest first
         self.busy, self.calls = dict[int, Worker](), dict[int, list[tuple[Held, float]]]()   # till answers
         self.accounts, self.held = dict[int, Account](), dict[int, Held]()
@@ -123,7 +122,7 @@
         self.missed = self.outs = self.stuck = 0        # counter calls; submissions out; of them overdue
         self.settled = self.pace = self.late = self.shed = self.fill = 0.0   # lately; they fade
         self.resends, self.room, self.fleet, self.near = RESEND_SAVED, ROOM_CALM, 1.0, NEAR_LEAST
-        self.woke = self.swept = self.full_at = self.call_at = LONG_AGO
+        self.woke = self.full_at = self.call_at = LONG_AGO
         self.asking = min(1.0, ASK_FIRST / terms.gatekeepers)   # odds of a call
         self.hold, self.cold_multiple = max(HOLD_MS, 2 * self.counter_wait), COLD_PART * terms.fall_multiple
         self.wait_ms = self.calm_ms = WAIT_SLA * min(p.sla_ms for p in terms.products)   # calm: mean answer
@@ -168,13 +167,16 @@
         self.workers = {wid: w for wid, w in self.workers.items() if w.listed or w.out}
         order = sorted((w for w in self.workers.values() if w.listed), key=lambda w: w.key)
         at = int(self.ordinal * GOLDEN % 1 * len(order))    # so gateways begin evenly spread over the fleet
-        self.around = sorted(order[at:] + order[:at], key=lambda w: self.fee and w.zone != self.zone)
-        self.fleet = max(0.1, len(order) / self.gatekeepers)
+        order, self.fleet = order[at:] + order[:at], max(0.1, len(order) / self.gatekeepers)
         self.near = max(NEAR_LEAST, round(NEAR_PART * self.fleet))
+        self.around = sorted(order, key=lambda w: self.fee and w.zone != self.zone)[:self.near]
+        self.around += [w for w in order if w not in self.around]     # the next may be in any zone
 
     def pick(self, h: Held) -> Worker | None:
         """First in the customer's rank of the near workers that has not enough; else the least loaded."""
-        near = list(islice((w for w in self.around if w not in h.tried and self.able(w, h)), self.near))
+        near = [w for w in self.around[:self.near] if w not in h.tried and self.able(w, h)]
+        if len(near) < NEAR_FEW:    # not more: each further one may be as sick, and is found out by a txn
+            near = list(islice((w for w in self.around if w not in h.tried and self.able(w, h)), NEAR_FEW))
         near = near or [w for w in self.around if self.allowed(w, h) and self.warmth(w) >= 1]
         near.sort(key=lambda w: (w.key ^ h.account.key) * 0x9E3779B97F4A7C15 & (2**64 - 1))
         fair = ENOUGH / max(1e-9, sum(1 / w.slow for w in near))
@@ -364,8 +366,7 @@
         w = self.pick(h) if len(h.tried) < self.submissions and h.expiry - self.now > 1 else None
         if w is None:
             return "no worker"
-        if self.warmth(w) < 1.0:
-            w.tokens -= 1.0
+        w.tokens -= 1.0
         if not h.tried:
             self.spend(h)
         self.resends = max(0.0, min(RESEND_SAVED, self.resends + (-1.0 if h.tried else RESEND_PART)))
@@ -493,9 +494,8 @@
                 if late < self.now:
                     self.overdue(w, txn, sent, k)
         self.make_room()
-        if self.now - self.swept > IDLE_MS / 4:
-            self.swept, books = self.now, self.accounts.items()
-            self.accounts = {c: a for c, a in books if a.out or self.now - a.at < IDLE_MS}
+        if self.chance.random() < SWEEP_ODDS:
+            self.accounts = {c: a for c, a in self.accounts.items() if a.out or self.now - a.at < IDLE_MS}
 
     def make_room(self) -> None:
         """Guards against a spiral of late answers: out is what settles in a calm answer's time and a wait."""
