--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -81,13 +81,16 @@
 class Account:
     """A customer's books here, by class. Dropped when idle."""
 
-    def __init__(self, plan: Plan, t: api.Txn, classes: int, now: float, top: float) -> None:
+    def __init__(self, plan: Plan, t: api.Txn, keeper: Gatekeeper) -> None:
+        classes, now, top = keeper.classes, keeper.now, keeper.top_units
         self.plan, self.customer, self.gates, self.key = plan, t.customer, max(1, t.gates), mix(t.customer)
         self.at = self.window_at = now
         self.use, self.spent, self.last = ([0.0] * classes for _ in range(3))   # all gateways'; by window
         self.mine, self.lease = ([0.0] * classes for _ in range(2))     # pace of spending; unspent blocks
         self.count, self.counted, self.told, self.added = 0.0, -1, LONG_AGO, 0.0   # last total; added since
         self.rate, self.out, self.ceiling = 0.0, 0, 0.0     # others' pace; out here; fresh: nothing
+        self.shared = 0 < plan.open_cap < self.gates    # no gateway keeps such a cap alone
+        self.depth = min(plan.quota, plan.open_cap * top) if self.shared else plan.quota   # so bursts are low
         self.most = self.allowance = max(top, plan.quota / self.gates)   # without a total; a txn at least
 
 
@@ -219,8 +222,7 @@
 
     def on_txn(self, t: api.Txn) -> None:
         if (a := self.accounts.get(t.customer)) is None:
-            a = Account(self.plans[t.plan], t, self.classes, self.now, self.top_units)
-            self.accounts[t.customer] = a
+            a = self.accounts[t.customer] = Account(self.plans[t.plan], t, self)
         self.age(a)
         h = self.held[t.txn] = Held(t, a, self.rank[t.product], self.now)
         h.wait = self.lacks(h)
@@ -246,9 +248,9 @@
             h.epoch = int(self.now // COUNT_MS)
             if may_wait and self.add(h, 0.0):
                 return True
-        if age > IDLE_MS and self.has_counter and not plan.soft:
+        if (age > IDLE_MS or a.shared and h.epoch < 0) and self.has_counter and not plan.soft:
             a.allowance -= h.units
-            if h.repeat or a.allowance < 0:
+            if h.repeat or a.shared or a.allowance < 0:
                 h.wait, a.allowance = max(1.0, self.longest_wait), a.allowance + h.units
         return False
 
@@ -257,7 +259,7 @@
         a, c, units, plan = h.account, h.rank, h.units, h.account.plan
         if plan.ceiling_rate and units > a.ceiling:
             return max(1.0, (units - a.ceiling) * a.gates / plan.ceiling_rate)
-        spare = plan.quota - sum(a.use)
+        spare = a.depth - sum(a.use)
         lack = units - spare
         if plan.open_cap and a.out >= max(1, plan.open_cap // a.gates):
             lack = max(lack, units)
@@ -430,7 +432,8 @@
             self.pace, self.settled = self.pace + 1 / PACE_MS, self.settled + 1
             if self.now != self.woke:
                 self.time(w, k, e.took_ms, e.submission > 0)
-            lane.failures, lane.heard_at = lane.failures * (1 - FAILURE_STEP), self.now
+            lane.failures = 0.0 if lane.state is TRIAL else lane.failures * (1 - FAILURE_STEP)
+            lane.rest_ms, lane.heard_at = 0.0, self.now
             self.step(LANE_TABLE, lane, "settled")
         elif e.end in (End.ERROR, End.BROKEN, End.UNREACHED) or e.end is End.TIMEOUT and out[1] != NEVER:
             for each in w.lanes if e.end is End.UNREACHED else [lane]:
@@ -449,9 +452,8 @@
         self.high[k] *= 1 + step * (QUANTILE - (took <= self.high[k]))
         self.slower(w, took > w.slow * self.high[k])
         late = took > LATE_PART * self.products[k].sla_ms
-        self.late += LATE_STEP * (late - self.late)
-        if again and not late:      # in time elsewhere: the first was lost, not late
-            self.late = max(0.0, self.late - LATE_STEP)
+        lost = LATE_STEP if again and not late else 0.0     # in time elsewhere: the first was lost, not late
+        self.late = max(0.0, self.late + LATE_STEP * (late - self.late) - lost)
 
     def slower(self, w: Worker, late: bool) -> None:
         step = min(SLOW_STEP_MOST, max(SLOW_STEP, (self.now - w.heard_at) / RATE_MEMORY_MS))
@@ -469,9 +471,6 @@
         lane.rest_ms = min(REST_MOST_MS, max(self.between(), 2 * lane.rest_ms or REST_MS))
         lane.until = self.now + lane.rest_ms
 
-    def restore(self, lane: SimpleNamespace) -> None:
-        lane.rest_ms, lane.failures = 0.0, 0.0
-
     def overdue(self, w: Worker, txn: int, sent: float, k: int) -> None:
         """Guards against answers that never come: their lane rests, and what may run again is called off."""
         w.out[txn], self.stuck = (sent, NEVER, k), self.stuck + 1
@@ -535,7 +534,7 @@
     (FIT, "sick"): (RESTING, Gatekeeper.rest),
     (FIT, "full"): (RESTING, Gatekeeper.rest),
     (RESTING, "rested"): (TRIAL, nothing),
-    (TRIAL, "settled"): (FIT, Gatekeeper.restore),
+    (TRIAL, "settled"): (FIT, nothing),
     (TRIAL, "sick"): (RESTING, Gatekeeper.rest),
     (TRIAL, "full"): (RESTING, Gatekeeper.rest),
 }
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -248,6 +248,16 @@
         s.txn(1)
         self.same(s, "opencap")
 
+    def test_open_cap_smaller_than_its_gateways(self) -> None:
+        s = Stage(plans=(OPEN,))
+        s.note("2 submissions at once through 40 gateways: the store is 12 units deep, not 20")
+        for c in (1, 1, 1):
+            settle(s, s.txn(1, 5.0, customer=c, gates=40))
+        s.note("what is not asked about is not sent on")
+        s.keeper.asking = 0.0
+        s.txn(1, 5.0, customer=2, gates=40)
+        self.same(s, "shared")
+
     def test_client_gone_is_called_off_and_never_sent_again(self) -> None:
         s = Stage(counter=False)
         txn = s.txn(1)
