--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -35,9 +35,9 @@
 FAILURE_STEP, SICK_FAILURES, FULL_REST_MS = 0.2, 0.15, 150.0    # share of failures that rests a lane
 REST_MS, REST_MOST_MS, SILENT, LATE_PART = 1000.0, 16000.0, 2.0, 0.6   # overdue; late: of the SLA time
 LATE_STEP, LATE_MOST, LATE_FADE_MS = 0.1, 0.3, 18000.0   # share of late answers: followed, borne, forgotten
-OVERDUE_PART, RESEND_PART, RESEND_SAVED, COLD_PART = 0.5, 0.15, 20.0, 0.4   # of a failure; to firsts
+OVERDUE_PART, RESEND_PART, RESEND_SAVED, COLD_PART, SHARED = 0.5, 0.15, 20.0, 0.4, 4   # gateways to a cap
 PACE_MS, CALM_STEP, PRESSED_AT, QUIET_AT, FILL_STEP = 1000.0, 0.02, 0.7, 0.4, 0.3   # parts of the room
-WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 1.5, 0.75   # by worker; by gateway
+WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 1.2, 0.75   # by worker; by gateway
 TICK_MS, SHED_MORE, SHED_LESS, NO_ROOM_WAIT = 100.0, 0.05, 0.015, (0.3, 1.0)   # classes shed a tick; advised
 
 FIT, RESTING, TRIAL, NEW, OUT, DONE, ANY = "fit", "resting", "trial", "new", "out", "done", "any"
@@ -89,7 +89,7 @@
         self.mine, self.lease = ([0.0] * classes for _ in range(2))     # pace of spending; unspent blocks
         self.count, self.counted, self.told, self.added = 0.0, -1, LONG_AGO, 0.0   # last total; added since
         self.rate, self.out, self.ceiling = 0.0, 0, 0.0     # others' pace; out here; fresh: nothing
-        self.shared = 0 < plan.open_cap < self.gates    # no gateway keeps such a cap alone
+        self.shared = 0 < plan.open_cap * SHARED < self.gates   # no gateway keeps such a cap alone
         self.depth = min(plan.quota, plan.open_cap * top) if self.shared else plan.quota   # so bursts are low
         self.most = self.allowance = max(top, plan.quota / self.gates)   # without a total; a txn at least
 
