--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -230,8 +230,8 @@
             self.decide(h)
 
     def decide(self, h: Held) -> None:
-        """Where answers are late, lower classes are shed first and all that is out counts."""
-        outs = self.outs - self.stuck * (self.late < LATE_MOST)
+        """Where answers are late, lower classes are shed first, and for them what is overdue counts as out."""
+        outs = self.outs if self.late > LATE_MOST and h.rank else self.outs - self.stuck
         full = outs + self.chance.random() > self.room * LOWER_ROOM ** h.rank
         if not h.wait and (full or self.chance.random() < self.shed - (self.classes - 1 - h.rank)):
             h.wait = max(1.0, self.longest_wait * self.chance.uniform(*NO_ROOM_WAIT))
