--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -38,7 +38,7 @@
 OVERDUE_PART, RESEND_PART, RESEND_SAVED, COLD_PART, SHARED = 0.5, 0.15, 20.0, 0.4, 4   # gateways to a cap
 PACE_MS, CALM_STEP, PRESSED_AT, QUIET_AT, FILL_STEP = 1000.0, 0.02, 0.7, 0.4, 0.3   # parts of the room
 WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 1.2, 0.75   # by worker; by gateway
-TICK_MS, SHED_MORE, SHED_LESS, NO_ROOM_WAIT = 100.0, 0.05, 0.015, (0.3, 1.0)   # classes shed a tick; advised
+ROOM_FIRST, ROOM_GROW, TICK_MS, SHED_MORE, SHED_LESS, NO_ROOM_WAIT = 2.5, 0.1, 100.0, 0.05, 0.015, (0.3, 1.0)
 
 FIT, RESTING, TRIAL, NEW, OUT, DONE, ANY = "fit", "resting", "trial", "new", "out", "done", "any"
 HEARD, BLIND, QUIET, PRESSED = "counter heard", "counter blind", "back end quiet", "back end pressed"
@@ -124,9 +124,9 @@
         self.high, self.answers = [p.sla_ms / 2 for p in terms.products], [0] * self.classes   # quantiles
         self.missed = self.outs = self.stuck = 0        # counter calls; submissions out; of them overdue
         self.settled = self.pace = self.late = self.shed = self.fill = 0.0   # lately; they fade
-        self.resends, self.room, self.fleet, self.near = RESEND_SAVED, ROOM_CALM, 1.0, NEAR_LEAST
+        self.resends, self.room, self.grown, self.near = RESEND_SAVED, ROOM_CALM, ROOM_FIRST, NEAR_LEAST
         self.woke = self.full_at = self.call_at = LONG_AGO
-        self.asking = min(1.0, ASK_FIRST / terms.gatekeepers)   # odds of a call
+        self.asking, self.fleet = min(1.0, ASK_FIRST / terms.gatekeepers), 1.0     # odds of a call
         self.hold, self.cold_multiple = max(HOLD_MS, 2 * self.counter_wait), COLD_PART * terms.fall_multiple
         self.wait_ms = self.calm_ms = WAIT_SLA * min(p.sla_ms for p in terms.products)   # calm: mean answer
 
@@ -215,7 +215,6 @@
         return w.tokens
 
     def between(self) -> float:
-        """The time between two txns that a near worker settles for us."""
         return RATE_MEMORY_MS * min(self.near, len(self.around)) / max(0.01, self.settled)
 
     # Admission
@@ -230,7 +229,7 @@
             self.decide(h)
 
     def decide(self, h: Held) -> None:
-        """Where answers are late, lower classes are shed first, and for them what is overdue counts as out."""
+        """Where answers are late, lower classes are shed first; for them what is overdue is still out."""
         outs = self.outs if self.late > LATE_MOST and h.rank else self.outs - self.stuck
         full = outs + self.chance.random() > self.room * LOWER_ROOM ** h.rank
         if not h.wait and (full or self.chance.random() < self.shed - (self.classes - 1 - h.rank)):
@@ -259,8 +258,7 @@
         a, c, units, plan = h.account, h.rank, h.units, h.account.plan
         if plan.ceiling_rate and units > a.ceiling:
             return max(1.0, (units - a.ceiling) * a.gates / plan.ceiling_rate)
-        spare = a.depth - sum(a.use)
-        lack = units - spare
+        lack = units - (spare := a.depth - sum(a.use))
         if plan.open_cap and a.out >= max(1, plan.open_cap // a.gates):
             lack = max(lack, units)
         elif lack <= 0 and a.use[c] + units > self.shares[c] * plan.quota:
@@ -452,6 +450,7 @@
         self.high[k] *= 1 + step * (QUANTILE - (took <= self.high[k]))
         self.slower(w, took > w.slow * self.high[k])
         late = took > LATE_PART * self.products[k].sla_ms
+        self.grown = self.grown if late else min(ROOM_CALM, self.grown + ROOM_GROW)
         lost = LATE_STEP if again and not late else 0.0     # in time elsewhere: the first was lost, not late
         self.late = max(0.0, self.late + LATE_STEP * (late - self.late) - lost)
 
@@ -499,7 +498,8 @@
     def make_room(self) -> None:
         """Guards against a spiral of late answers: out is what settles in a calm answer's time and a wait."""
         least, calm = ROOM_LEAST * self.fleet, ROOM_MORE - (ROOM_MORE - 1) * self.late / LATE_MOST
-        least = max(1.0, least) if self.late > LATE_MOST else max(ROOM_CALM, calm * least)
+        self.grown = 1.0 if self.late > LATE_MOST else self.grown
+        least = max(self.grown, least if self.late > LATE_MOST else calm * least)
         self.room = max(least, self.pace * (self.calm_ms + self.wait_ms))
         self.pace, self.late = self.pace * (1 - TICK_MS / PACE_MS), self.late * (1 - TICK_MS / LATE_FADE_MS)
         more = SHED_MORE if self.late > LATE_MOST else -SHED_LESS
