--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -502,7 +502,7 @@
         least = max(self.grown, least if self.late > LATE_MOST else calm * least)
         self.room = max(least, self.pace * (self.calm_ms + self.wait_ms))
         self.pace, self.late = self.pace * (1 - TICK_MS / PACE_MS), self.late * (1 - TICK_MS / LATE_FADE_MS)
-        more = SHED_MORE if self.late > LATE_MOST else -SHED_LESS
+        more = SHED_MORE if self.late > LATE_MOST and self.fleet < 1 else -SHED_LESS   # else by room
         self.shed = min(self.classes - 1.0, max(0.0, self.shed + more))
         self.fill += FILL_STEP * ((self.outs - self.stuck) / self.room - self.fill)
         pressed = self.fill > PRESSED_AT or self.late > LATE_MOST
