Near workers are asked once, no allowance given back, no tables copied each tick

A further worker is now sought after the near ones only; the allowance is taken when it is used; the caller of add has already asked whether there is a counter.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -179,7 +179,8 @@
         """First in the customer's rank of the near workers that has not enough; else the least loaded."""
         near = [w for w in self.around[:self.near] if w not in h.tried and self.able(w, h)]
         if len(near) < NEAR_FEW:    # not more: each further one may be as sick, and is found out by a txn
-            near = list(islice((w for w in self.around if w not in h.tried and self.able(w, h)), NEAR_FEW))
+            further = (w for w in self.around[self.near:] if w not in h.tried and self.able(w, h))
+            near += islice(further, NEAR_FEW - len(near))
         near = near or [w for w in self.around if self.allowed(w, h) and self.warmth(w) >= 1]
         near.sort(key=lambda w: (w.key ^ h.account.key) * 0x9E3779B97F4A7C15 & (2**64 - 1))
         fair = ENOUGH / max(1e-9, sum(1 / w.slow for w in near))
@@ -237,8 +238,7 @@
         self.step(TXN_TABLE, h, "refused" if h.wait else "admitted")
 
     def ask(self, h: Held, may_wait: bool) -> bool:
-        """What no lease covers is held for the total, by odds where the counter is crowded; who was never
-        heard of has an allowance. True while held."""
+        """True while held for the total, by odds where the counter is crowded; else an allowance counts."""
         a, plan, age = h.account, h.account.plan, self.now - h.account.told
         needless = not plan.rate or plan.soft and self.asking < 1 and self.quiet(plan)
         if needless or h.units <= a.lease[h.rank] or h.wait and age < plan.window:
@@ -248,9 +248,10 @@
             if may_wait and self.add(h, 0.0):
                 return True
         if (age > IDLE_MS or a.shared and h.epoch < 0) and self.has_counter and not plan.soft:
-            a.allowance -= h.units
-            if h.repeat or a.shared or a.allowance < 0:
-                h.wait, a.allowance = max(1.0, self.longest_wait), a.allowance + h.units
+            if h.repeat or a.shared or a.allowance < h.units:
+                h.wait = max(1.0, self.longest_wait)
+            else:
+                a.allowance -= h.units
         return False
 
     def lacks(self, h: Held) -> float:
@@ -308,8 +309,7 @@
 
     def add(self, h: Held, amount: float) -> bool:
         """Adds to the customer's count for a txn. A blind counter is asked seldom until it answers."""
-        blind = self.counter.state is BLIND and self.now - self.call_at < TICK_MS / self.asking
-        if blind or not self.has_counter:
+        if self.counter.state is BLIND and self.now - self.call_at < TICK_MS / self.asking:
             return False
         name, self.call_at = mix(h.account.customer, h.epoch), self.now
         self.calls.setdefault(name, []).append((h, amount))
@@ -487,8 +487,8 @@
         """The tick: what is overdue is judged, rates fade, room is made, idle books are dropped."""
         self.acts.append(api.Wake(TICK_MS, 0))
         self.settled *= 1 - TICK_MS / RATE_MEMORY_MS
-        for w in list(self.busy.values()):
-            for txn, (sent, late, k) in list(w.out.items()):
+        for w in self.busy.values():
+            for txn, (sent, late, k) in w.out.items():
                 if late < self.now:
                     self.overdue(w, txn, sent, k)
         self.make_room()
