--- a/drumgw/drill/__main__.py
+++ b/drumgw/drill/__main__.py
@@ -8,6 +8,7 @@
 from drumgw.control import Gatekeeper
 from drumgw.drill import wire
 from drumgw.interface import Listed
+from drumgw.terms import BadTerms, Names, read_terms
 
 
 class BadWire(Exception):
@@ -20,7 +21,7 @@
     def __init__(self) -> None:
         self.now = 0.0
         self.in_round = False
-        self.hosts: dict[int, tuple[Gatekeeper, wire.Names]] = {}   # emptied by Retire
+        self.hosts: dict[int, tuple[Gatekeeper, Names]] = {}   # emptied by Retire
         self.lists: dict[int, list[dict[str, Any]]] = {}            # 16 list numbers at most, reused
         self.out: list[dict[str, Any]] = []
 
@@ -60,7 +61,7 @@
 
     def event(self, name: str, who: int, body: dict[str, Any]) -> None:
         if name == "Begin":
-            terms, names = wire.read_terms(body["options"])
+            terms, names = read_terms(body["options"])
             seed = int(body["seed"])
             self.decide(who, lambda: self.begin(who, seed, terms, names))
             return
@@ -81,7 +82,7 @@
         if event is not None:
             self.decide(who, lambda: keeper.handle(self.now, event))
 
-    def begin(self, who: int, seed: int, terms: Any, names: wire.Names) -> list[Any]:
+    def begin(self, who: int, seed: int, terms: Any, names: Names) -> list[Any]:
         keeper = Gatekeeper(seed, terms)
         self.hosts[who] = keeper, names
         return keeper.start(self.now)
@@ -107,7 +108,7 @@
         try:
             if not drill.line(text):
                 continue
-        except (BadWire, wire.BadTerms) as bad:
+        except (BadWire, BadTerms) as bad:
             print(f"line {number}: {bad}", file=complaints)
             return 2
         drill.out.append({"Next": {}})
--- /dev/null
+++ b/drumgw/gate/__init__.py
@@ -0,0 +1,1 @@
+"""The real gatekeeper: sockets round the decision module."""
--- /dev/null
+++ b/drumgw/gate/charter.py
@@ -0,0 +1,82 @@
+"""What a gatekeeper is told at its start: names, addresses, limits and the settings, as few figures."""
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from drumgw import interface as api
+from drumgw.terms import BadTerms, Names, read_terms
+
+RESERVED = 24           # descriptors for standard streams, the loop, the listener, the list and log files
+COUNTER_LINES = 32      # what the counter holds of one gatekeeper (the protocol's figure)
+MOST_BODY = 64 * 1024   # the protocol's figure
+
+
+class BadCharter(ValueError):
+    """A configuration that cannot be used; its text is one line."""
+
+
+@dataclass(frozen=True)
+class Charter:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    counter: tuple[str, int] | None
+    seed: int
+    known: dict[str, Any]
+    terms: api.Terms
+    names: Names
+    lines: int              # connections at most, on the clients' side and again on the workers'
+    idle_ms: float          # a connection to a worker is kept this long at most
+    connect_ms: float
+
+    @property
+    def longest_ms(self) -> float:
+        return max(p.expiry_ms for p in self.terms.products)
+
+
+def address(text: object, what: str) -> tuple[str, int]:
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise BadCharter(f"{what} is no host:port: {text!r}")
+    return host, int(port)
+
+
+def read_charter(env: Mapping[str, str]) -> Charter:
+    path = env.get("GW_CONFIG")
+    if not path:
+        raise BadCharter("GW_CONFIG names no file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as bad:
+        raise BadCharter(f"{path}: {str(bad).splitlines()[0]}") from bad
+    if not isinstance(told, dict):
+        raise BadCharter(f"{path}: not an object")
+    try:
+        return _charter(told, env)
+    except KeyError as lack:
+        raise BadCharter(f"{path}: missing {lack.args[0]}") from lack
+    except (BadTerms, BadCharter, TypeError, ValueError, AttributeError) as bad:
+        raise BadCharter(f"{path}: {str(bad).splitlines()[0]}") from bad
+
+
+def _charter(told: dict[str, Any], env: Mapping[str, str]) -> Charter:
+    settings = told["settings"]
+    terms, names = read_terms(settings)
+    allowed = settings["ceilings"]
+    sockets = int((told.get("limits") or {}).get("sockets") or 1024)
+    counter = address(told["counter"], "counter") if terms.counter else None
+    lines = (sockets - RESERVED - (COUNTER_LINES if counter else 0)) // 2
+    if lines < 1:
+        raise BadCharter(f"limits.sockets is {sockets}, too few")
+    known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
+    return Charter(
+        name=str(env.get("GW_NAME") or told["name"]),
+        listen=address(env.get("GW_LISTEN") or told["listen"], "listen"),
+        discovery=address(env.get("GW_DISCOVERY") or told["discovery"], "discovery"),
+        counter=counter, seed=int(str(told["seed"]), 16), known=known, terms=terms, names=names, lines=lines,
+        idle_ms=float(allowed.get("connIdleMs") or 0) / 2,      # never near the worker's own limit
+        connect_ms=float(allowed.get("connectTimeoutMs") or 1000.0))
--- /dev/null
+++ b/drumgw/gate/core.py
@@ -0,0 +1,244 @@
+"""The txns in hand: what the module is told, what it answers, and how each txn ends. No I/O, no clock.
+
+Every call takes the time and returns the effects, in order, for the adapters to carry out. The endings are
+the wire's: the first settled submission ends its txn, a cancelled or overdue one is told at once, each
+submission is told exactly once, and a txn that the module leaves open at its expiry is ended here.
+"""
+from __future__ import annotations
+
+from collections import deque
+from typing import Any, NamedTuple, Protocol
+
+from drumgw import interface as api
+from drumgw.gate.door import Asked
+from drumgw.gate.invariant import invariant
+from drumgw.interface import End
+
+NEVER_RAN = (End.FULL, End.UNREACHED, End.NOT_SENT)
+OK, FAILED, REFUSED = 200, 500, 503
+
+
+class Send(NamedTuple):
+    txn: int
+    submission: int
+    worker: int
+    stop_at_ms: float
+
+
+class Stop(NamedTuple):
+    """Give up a submission: its connection is closed; nothing more is told of it."""
+
+    txn: int
+    submission: int
+
+
+class Reply(NamedTuple):
+    """The final answer; answer is the worker's, for OK."""
+
+    txn: int
+    status: int
+    retry_after_ms: float
+    answer: Any
+
+
+class Alarm(NamedTuple):
+    """Call core.alarm then; submission -1 is the txn's expiry."""
+
+    at_ms: float
+    txn: int
+    submission: int
+
+
+class Fault(NamedTuple):
+    """The module failed; its error, for the log."""
+
+    error: Exception
+
+
+Effect = Send | Stop | Reply | Alarm | Fault | api.Add | api.Wake | api.Say
+
+
+class Keeper(Protocol):
+    """The decision module."""
+
+    def start(self, _now: float) -> list[api.Action]: ...
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+
+
+class InHand:
+    """A txn taken. Dropped once it is answered and each submission has ended."""
+
+    __slots__ = ("expiry", "owed", "ran", "tries", "out")
+
+    def __init__(self, expiry: float) -> None:
+        self.expiry, self.owed, self.ran, self.tries = expiry, True, False, 0
+        self.out: dict[int, tuple[int, float]] = {}     # submission: worker, sent at
+
+
+class Core:
+    def __init__(self, keeper: Keeper, terms: api.Terms) -> None:
+        self.keeper, self.most, self.copies = keeper, terms.submissions, terms.second_copies
+        self.hand: dict[int, InHand] = {}       # emptied by answers and ended submissions
+        self.ticks: dict[int, float] = {}       # label: interval; the module's few labels
+        self.events: deque[api.Event] = deque()     # emptied by each call
+        self.effects: list[Effect] = []
+        self.taken = 0
+
+    def start(self, now: float, listed: api.Listed) -> list[Effect]:
+        for action in self.keeper.start(now):
+            self.act(now, action)
+        return self.tell(now, listed)
+
+    def arrive(self, now: float, asked: Asked) -> tuple[int, list[Effect]]:
+        self.taken += 1
+        txn = self.taken
+        self.hand[txn] = InHand(now + asked.left_ms)
+        self.effects.append(Alarm(now + asked.left_ms, txn, -1))
+        return txn, self.tell(now, api.Txn(txn, *asked))
+
+    def ended(self, now: float, txn: int, submission: int, end: End, units: float, load: dict[str, float],
+              answer: Any) -> list[Effect]:
+        """A submission ended by itself. One that was given up meanwhile is told no second time."""
+        h = self.hand.get(txn)
+        if h is None or submission not in h.out:
+            return []
+        first = h.owed and end is End.SETTLED
+        if first:
+            self.reply(txn, h, OK, 0.0, answer)
+        self.close(now, txn, h, submission, end, units if first else 0.0, load)
+        return self.tell(now)
+
+    def left(self, now: float, txn: int) -> list[Effect]:
+        h = self.hand.get(txn)
+        if h is None or not h.owed:
+            return []
+        h.owed = False
+        self.drop(txn, h)
+        return self.tell(now, api.Left(txn))
+
+    def alarm(self, now: float, txn: int, submission: int) -> list[Effect]:
+        h = self.hand.get(txn)
+        if h is None:
+            return []
+        for n in list(h.out) if submission < 0 else [submission] if submission in h.out else []:
+            self.effects.append(Stop(txn, n))
+            self.close(now, txn, h, n, End.TIMEOUT, 0.0, {})
+        self.tell(now)
+        if submission < 0 and h.owed:       # guards clients against a module that forgot the txn
+            self.end_by_self(now, txn, h)
+        return self.tell(now)
+
+    def listed(self, now: float, listed: api.Listed) -> list[Effect]:
+        return self.tell(now, listed)
+
+    def due(self, now: float, label: int) -> list[Effect]:
+        return self.tell(now, api.Due(label))
+
+    def total(self, now: float, name: int, end: End, total: float, took_ms: float) -> list[Effect]:
+        return self.tell(now, api.Total(name, end, total, took_ms))
+
+    def abandon(self, now: float, txn: int) -> list[Effect]:
+        """An adapter failed at this txn: it is answered here."""
+        h = self.hand.get(txn)
+        if h is not None and h.owed:
+            self.end_by_self(now, txn, h)
+        return self.tell(now)
+
+    # Telling the module and carrying its actions over
+
+    def tell(self, now: float, *events: api.Event) -> list[Effect]:
+        """Returns all effects since the last call's; what acting brings about is told after them."""
+        self.events.extend(events)
+        while self.events:
+            event = self.events.popleft()
+            try:
+                actions = self.keeper.handle(now, event)
+            except Exception as error:      # the module's own failure, whatever it is
+                self.fault(now, event, error)
+                continue
+            for action in actions:
+                self.act(now, action)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def act(self, now: float, action: api.Action) -> None:
+        match action:
+            case api.Submit():
+                self.submit(now, action)
+            case api.Decline():
+                self.finish(action.txn, REFUSED, action.retry_after_ms)
+            case api.Void():
+                self.finish(action.txn, FAILED, 0.0)
+            case api.Cancel():
+                h = self.hand.get(action.txn)
+                if h is not None and action.submission in h.out:
+                    self.effects.append(Stop(action.txn, action.submission))
+                    self.close(now, action.txn, h, action.submission, End.CANCELLED, 0.0, {})
+            case api.Wake():
+                self.ticks[action.label] = action.after_ms
+                self.effects.append(action)
+            case api.Add() | api.Say():
+                self.effects.append(action)
+            case api.Probe():
+                invariant(False, "the module probes where probes have no port")
+
+    def submit(self, now: float, a: api.Submit) -> None:
+        h = self.hand.get(a.txn)
+        invariant(h is not None and h.owed, "a txn is submitted only while in hand")
+        if h is None or not h.owed:
+            return
+        n, stop_at = h.tries, min(a.stop_at_ms or h.expiry, h.expiry)
+        h.tries += 1
+        if n >= self.most or stop_at <= now or h.out and not self.copies:
+            self.events.append(api.Answer(a.txn, n, a.worker, End.NOT_SENT, 0.0, False, 0.0, {}))
+            return
+        h.out[n] = a.worker, now
+        self.effects.append(Send(a.txn, n, a.worker, stop_at))
+        if stop_at < h.expiry:
+            self.effects.append(Alarm(stop_at, a.txn, n))
+
+    def finish(self, txn: int, status: int, retry_after_ms: float) -> None:
+        h = self.hand.get(txn)
+        invariant(h is not None and h.owed, "a txn is answered once")
+        if h is not None and h.owed:
+            self.reply(txn, h, status, retry_after_ms, None)
+            self.drop(txn, h)
+
+    def reply(self, txn: int, h: InHand, status: int, retry_after_ms: float, answer: Any) -> None:
+        h.owed = False
+        self.effects.append(Reply(txn, status, retry_after_ms, answer))
+
+    def close(self, now: float, txn: int, h: InHand, n: int, end: End, units: float,
+              load: dict[str, float]) -> None:
+        worker, sent = h.out.pop(n)
+        h.ran = h.ran or end not in NEVER_RAN
+        self.events.append(api.Answer(txn, n, worker, end, now - sent, not h.owed, units, load))
+        self.drop(txn, h)
+
+    def drop(self, txn: int, h: InHand) -> None:
+        if not h.owed and not h.out:
+            self.hand.pop(txn, None)
+
+    # Failures of our own
+
+    def fault(self, now: float, event: api.Event, error: Exception) -> None:
+        """The txn at hand is answered; the others go on, and at worst end at their expiry."""
+        self.effects.append(Fault(error))
+        if isinstance(event, api.Due):      # the tick must not die with one fault
+            self.effects.append(api.Wake(self.ticks.get(event.label, 0.0), event.label))
+        elif isinstance(event, api.Txn | api.Answer):
+            h = self.hand.get(event.txn)
+            if h is not None and h.owed:
+                self.end_by_self(now, event.txn, h)
+
+    def end_by_self(self, now: float, txn: int, h: InHand) -> None:
+        """503 says that trying again is harmless: only where no submission may have run."""
+        invariant(not h.out or h.owed, "a txn with submissions out is in hand")
+        ran = h.ran or bool(h.out)
+        self.reply(txn, h, FAILED if ran else REFUSED, 0.0, None)
+        for n in list(h.out):
+            self.effects.append(Stop(txn, n))
+            self.close(now, txn, h, n, End.CANCELLED, 0.0, {})
+        self.drop(txn, h)
+        self.events.append(api.Left(txn))
--- /dev/null
+++ b/drumgw/gate/desk.py
@@ -0,0 +1,138 @@
+"""The module's actor: the only caller of the core, and so of the module. Carries its effects to the adapters.
+
+Whoever posts while it is idle drains the mailbox at once, so a txn takes no extra turn of the event loop.
+"""
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from loguru import logger
+
+from drumgw import interface as api
+from drumgw.gate.clock import Clock
+from drumgw.gate.core import Alarm, Core, Effect, Fault, Reply, Send, Stop
+from drumgw.gate.door import Passage
+from drumgw.gate.invariant import invariant
+
+
+class Workers(Protocol):
+    def send(self, order: Send, passage: Passage) -> None: ...
+
+    def stop(self, order: Stop) -> None: ...
+
+
+class Counter(Protocol):
+    def call(self, order: api.Add) -> None: ...
+
+
+class Desk:
+    def __init__(self, core: Core, clock: Clock, most: int) -> None:
+        self.core, self.clock, self.loop = core, clock, asyncio.get_running_loop()
+        self.workers: Workers | None = None     # set before the first txn
+        self.counter: Counter | None = None
+        self.most = most
+        self.mailbox: deque[tuple[Callable[..., list[Effect]], tuple[Any, ...]]] = deque()  # emptied by drain
+        self.draining = False
+        self.passages: dict[int, Passage] = {}      # txns in hand; emptied by their replies
+        self.waiting: dict[int, asyncio.Future[Reply]] = {}     # the front's; emptied by the replies
+        self.alarms: dict[int, asyncio.TimerHandle] = {}        # expiries; emptied as txns leave the hand
+        self.routes: dict[type, Callable[[Any], None]] = {
+            Send: self.on_send, Stop: self.on_stop, Reply: self.on_reply, Alarm: self.on_alarm,
+            Fault: self.on_fault, api.Add: self.on_add, api.Wake: self.on_wake, api.Say: self.on_say}
+
+    # The mailbox
+
+    def post(self, call: Callable[..., list[Effect]], *args: Any) -> None:
+        """What comes from inside is bounded by what is out: each submission, call and alarm ends once."""
+        self.mailbox.append((call, args))
+        invariant(len(self.mailbox) <= self.most, "the module's mailbox is within its bound")
+        if not self.draining:
+            self.drain()
+
+    def drain(self) -> None:
+        self.draining = True
+        try:
+            while self.mailbox:
+                call, args = self.mailbox.popleft()
+                self.carry_out(call(self.clock.now(), *args))
+        finally:
+            self.draining = False
+
+    def carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            try:
+                self.routes[type(effect)](effect)
+            except Exception as error:      # an adapter's failure: its txn is answered, the process lives
+                logger.opt(exception=error).error("fault in an adapter: {!r}", error)
+                txn = getattr(effect, "txn", None)
+                if txn is not None:
+                    self.mailbox.append((self.core.abandon, (txn,)))
+
+    # Txns, from the front
+
+    def take(self, passage: Passage) -> asyncio.Future[Reply]:
+        """Hands a txn to the module; the future is its answer, often there at once."""
+        invariant(not self.draining, "the front calls from its own turn")
+        reply: asyncio.Future[Reply] = self.loop.create_future()
+        self.draining = True
+        try:
+            passage.txn, effects = self.core.arrive(self.clock.now(), passage.asked)
+            self.passages[passage.txn], self.waiting[passage.txn] = passage, reply
+            self.carry_out(effects)
+        finally:
+            self.draining = False
+        self.drain()
+        return reply
+
+    def left(self, txn: int) -> None:
+        self.waiting.pop(txn, None)
+        self.passages.pop(txn, None)
+        self.post(self.core.left, txn)
+        self.disarm(txn)
+
+    # Effects
+
+    def on_send(self, order: Send) -> None:
+        assert self.workers is not None
+        self.workers.send(order, self.passages[order.txn])
+
+    def on_stop(self, order: Stop) -> None:
+        assert self.workers is not None
+        self.workers.stop(order)
+
+    def on_reply(self, reply: Reply) -> None:
+        self.passages.pop(reply.txn, None)
+        waiting = self.waiting.pop(reply.txn, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply)
+        self.disarm(reply.txn)
+
+    def disarm(self, txn: int) -> None:
+        if txn not in self.core.hand and (alarm := self.alarms.pop(txn, None)) is not None:
+            alarm.cancel()
+
+    def on_alarm(self, alarm: Alarm) -> None:
+        handle = self.loop.call_at(self.clock.loop_time(alarm.at_ms), self.ring, alarm)
+        if alarm.submission < 0:
+            self.alarms[alarm.txn] = handle
+
+    def ring(self, alarm: Alarm) -> None:
+        if alarm.submission < 0:
+            self.alarms.pop(alarm.txn, None)
+        self.post(self.core.alarm, alarm.txn, alarm.submission)
+
+    def on_add(self, order: api.Add) -> None:
+        assert self.counter is not None
+        self.counter.call(order)
+
+    def on_wake(self, order: api.Wake) -> None:
+        self.loop.call_later(order.after_ms / 1000.0, self.post, self.core.due, order.label)
+
+    def on_fault(self, fault: Fault) -> None:
+        logger.opt(exception=fault.error).error("fault in the module: {!r}", fault.error)
+
+    def on_say(self, line: api.Say) -> None:
+        logger.info("{}", line.text)
--- /dev/null
+++ b/drumgw/gate/gateway.py
@@ -0,0 +1,69 @@
+"""One gatekeeper: its parts put together, started, and taken down on SIGTERM."""
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+
+from loguru import logger
+
+from drumgw.control import Gatekeeper
+from drumgw.gate.charter import Charter
+from drumgw.gate.clock import Clock
+from drumgw.gate.core import Core
+from drumgw.gate.counter import Counter
+from drumgw.gate.desk import Desk
+from drumgw.gate.front import Front
+from drumgw.gate.roster import Roster
+from drumgw.gate.workers import Workers
+
+LINGER_MS = 700.0       # after SIGTERM clients still come for so long (the protocol's figure)
+
+
+class Gateway:
+    def __init__(self, charter: Charter) -> None:
+        self.charter, self.clock = charter, Clock()
+        core = Core(Gatekeeper(charter.seed, charter.terms), charter.terms)
+        self.desk = Desk(core, self.clock, most=4 * charter.lines)
+        self.workers = Workers(charter, self.desk)
+        self.counter = Counter(charter, self.desk) if charter.counter else None
+        self.roster = Roster(charter, self.desk, self.workers)
+        self.front = Front(charter, self.desk)
+        self.desk.workers, self.desk.counter = self.workers, self.counter
+        self.term = asyncio.Event()
+
+    async def open(self) -> tuple[str, int]:
+        known = self.roster.first()
+        self.desk.post(self.desk.core.start, known)
+        self.watching = asyncio.create_task(self.roster.watch())
+        place = await self.front.open()
+        logger.info("{} serves at {}:{}: {} workers known, {} lines a side", self.charter.name, *place,
+                    len(known.entries), self.charter.lines)
+        return place
+
+    async def close(self) -> None:
+        """Still serves what comes for a while, then finishes what is in hand."""
+        self.front.withdraw()
+        logger.info("{} was told to end: {} txns in hand", self.charter.name, len(self.desk.waiting))
+        await asyncio.sleep(LINGER_MS / 1000)
+        self.front.close_idle()
+        end = self.clock.now() + self.charter.longest_ms
+        while self.desk.waiting and self.clock.now() < end:
+            await asyncio.sleep(0.01)
+        await self.front.server.shutdown(0.1)
+        self.watching.cancel()
+        for part in (self.workers, self.counter, self.roster):
+            if part is not None:
+                await part.close()
+        logger.info("{} ends: {} txns taken, {} left open", self.charter.name, self.desk.core.taken,
+                    len(self.desk.waiting))
+
+
+async def serve(charter: Charter) -> None:
+    gateway = Gateway(charter)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, gateway.term.set)
+    await gateway.open()
+    gc.collect()
+    gc.freeze()     # what lives as long as the process is not walked again
+    await gateway.term.wait()
+    await gateway.close()
--- /dev/null
+++ b/drumgw/gate/roster.py
@@ -0,0 +1,96 @@
+"""The worker list's actor: starts from the known list, then watches discovery without a gap."""
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from typing import Any
+
+import aiohttp
+from aiohttp import hdrs
+from loguru import logger
+from yarl import URL
+
+from drumgw import interface as api
+from drumgw.gate.charter import Charter
+from drumgw.gate.desk import Desk
+from drumgw.gate.workers import Workers
+from drumgw.interface import Health
+
+WATCH_MS, SILENT_MS, AGAIN_MS = 20000, 2000, 50     # the protocol's: a watch, its grace, under its 200 ms gap
+STATES = {"up": Health.READY, "draining": Health.DRAINING, "removed": Health.GONE}
+
+
+def worker_id(instance: str) -> int:
+    """The same number at every gateway: they rank the workers by it."""
+    return int.from_bytes(hashlib.blake2b(instance.encode(), digest_size=6).digest(), "big")
+
+
+class Roster:
+    def __init__(self, charter: Charter, desk: Desk, workers: Workers) -> None:
+        self.charter, self.desk, self.workers = charter, desk, workers
+        self.base = "http://{}:{}/registry/instances".format(*charter.discovery)
+        self.generation: int | None = None
+        self.states: dict[str, Health] = {}     # workers on the list; emptied by it
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=2, use_dns_cache=False),
+            cookie_jar=aiohttp.DummyCookieJar(), skip_auto_headers=(hdrs.USER_AGENT,),
+            timeout=aiohttp.ClientTimeout(total=(WATCH_MS + SILENT_MS) / 1000))
+
+    def first(self) -> api.Listed:
+        return self.read(self.charter.known, whole=True)
+
+    async def close(self) -> None:
+        await self.session.close()
+
+    async def watch(self) -> None:
+        """Each next call at once after an answer; while discovery is silent the last list stands."""
+        while True:
+            try:
+                told = await self.ask()
+                if told.get("instances") or told.get("reset"):
+                    self.desk.post(self.desk.core.listed, self.read(told, bool(told.get("reset"))))
+                self.generation = told.get("generation", self.generation)
+            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+                logger.debug("discovery: {!r}", error)
+                await asyncio.sleep(AGAIN_MS / 1000)
+            except Exception as error:      # an answer that cannot be read: the last list stands
+                logger.error("the worker list cannot be read: {!r}", error)
+                self.generation = None
+                await asyncio.sleep(AGAIN_MS / 1000)
+
+    async def ask(self) -> dict[str, Any]:
+        query = "" if self.generation is None else f"?since={self.generation}&timeout_ms={WATCH_MS}"
+        async with self.session.get(URL(self.base + query, encoded=True)) as answer:
+            answer.raise_for_status()
+            told: dict[str, Any] = json.loads(await answer.read())
+            return told
+
+    def read(self, told: dict[str, Any], whole: bool) -> api.Listed:
+        rows = [(row, self.entry(row)) for row in told["instances"]]
+        if whole:
+            for name in set(self.states) - {row["instanceId"] for row, _ in rows}:
+                self.change(name, Health.GONE)
+        for row, entry in rows:
+            if entry.health is not Health.GONE:
+                self.workers.place(entry.worker, row["hostPort"])
+            self.change(row["instanceId"], entry.health)
+        if self.generation is None:
+            self.generation = told.get("generation")
+        return api.Listed(whole, tuple(entry for _, entry in rows))
+
+    def entry(self, row: dict[str, Any]) -> api.Entry:
+        return api.Entry(
+            worker_id(row["instanceId"]), self.charter.names.zone(row["zone"]), int(row["cell"]),
+            row["machineType"], STATES[row["lifecycle"]], float(row["startedAtMs"]) or None,
+            float(row["weight"]))
+
+    def change(self, name: str, health: Health) -> None:
+        if self.states.get(name) is health:
+            return
+        logger.info("worker {} ({}) is {}", worker_id(name), name, health.value)
+        if health is Health.GONE:
+            self.states.pop(name, None)
+            self.workers.remove(worker_id(name))
+        else:
+            self.states[name] = health
