Answers to an overdue submission are kept: the core told twice and dropped the first

Checked and ruled out: late timers (lateness 0.1 ms), faults in the log (none). Test: expiry stops what is out and keeps the answer.

--- a/drumgw/gate/core.py
+++ b/drumgw/gate/core.py
@@ -124,10 +124,10 @@
         for n in list(h.out) if submission < 0 else [submission] if submission in h.out else []:
             self.effects.append(Stop(txn, n))
             self.close(now, txn, h, n, End.TIMEOUT, 0.0, {})
-        self.tell(now)
+        effects = self.tell(now)        # its answers come first, and are kept
         if submission < 0 and h.owed:       # guards clients against a module that forgot the txn
             self.end_by_self(now, txn, h)
-        return self.tell(now)
+        return effects + self.tell(now)
 
     def listed(self, now: float, listed: api.Listed) -> list[Effect]:
         return self.tell(now, listed)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,131 @@
+"""The core round the module: each txn ends once, each submission is told once, whatever the module does."""
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+
+from drumgw import interface as api
+from drumgw.gate.core import Core, Effect, Fault, Reply, Send, Stop
+from drumgw.gate.door import Asked
+from drumgw.interface import End
+from tests.stage import terms
+
+Answers = Callable[[api.Event], list[api.Action]]
+
+
+class Script:
+    """A module that answers each event as its test says, and keeps what it was told."""
+
+    def __init__(self, answers: Answers) -> None:
+        self.answers, self.told = answers, list[api.Event]()
+
+    def start(self, _now: float) -> list[api.Action]:
+        return [api.Wake(100.0, 0)]
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.told.append(event)
+        return self.answers(event)
+
+
+def submits(event: api.Event) -> list[api.Action]:
+    """Submits each txn to worker 5 until its expiry, and voids it when that submission ends unsettled."""
+    if isinstance(event, api.Txn):
+        return [api.Submit(event.txn, 5, 0.0)]
+    if isinstance(event, api.Answer) and not event.final:
+        return [api.Void(event.txn)]
+    return []
+
+
+class CoreCase(unittest.TestCase):
+    def begin(self, answers: Answers = submits) -> None:
+        self.script = Script(answers)
+        self.core = Core(self.script, terms())
+        self.core.start(0.0, api.Listed(True, ()))
+
+    def arrive(self) -> list[Effect]:
+        return self.core.arrive(10.0, Asked(500.0, 0, 1, 0, 2.0, False, 2, 0))[1]
+
+    def ended(self, end: End, at: float = 60.0, submission: int = 0) -> list[Effect]:
+        return self.core.ended(at, 1, submission, end, 3.0, {}, b"ok" if end is End.SETTLED else None)
+
+    def told(self) -> list[tuple[End, float, bool, float]]:
+        return [(e.end, e.took_ms, e.final, e.units) for e in self.script.told if isinstance(e, api.Answer)]
+
+    def test_the_first_settled_submission_ends_its_txn(self) -> None:
+        self.begin()
+        self.assertIn(Send(1, 0, 5, 510.0), self.arrive())
+        self.assertEqual(self.ended(End.SETTLED), [Reply(1, 200, 0.0, b"ok")])
+        self.assertEqual(self.told(), [(End.SETTLED, 50.0, True, 3.0)])
+        self.assertEqual((self.ended(End.SETTLED), self.core.hand), ([], {}))
+
+    def test_expiry_stops_what_is_out_and_keeps_the_answer(self) -> None:
+        """Guards against a lost txn: the answer to the time-out was dropped where the core told twice."""
+        self.begin()
+        self.arrive()
+        self.assertEqual(self.core.alarm(510.0, 1, -1), [Stop(1, 0), Reply(1, 500, 0.0, None)])
+        self.assertEqual(self.told(), [(End.TIMEOUT, 500.0, False, 0.0)])
+        self.assertEqual((self.core.alarm(511.0, 1, -1), self.core.hand), ([], {}))
+
+    def test_a_txn_the_module_forgot_ends_at_its_expiry(self) -> None:
+        self.begin(lambda event: [])
+        self.arrive()
+        self.assertEqual(self.core.alarm(510.0, 1, -1), [Reply(1, 503, 0.0, None)])
+        self.assertIsInstance(self.script.told[-1], api.Left)
+
+    def test_a_cancelled_submission_is_told_once_and_the_next_may_go(self) -> None:
+        def answers(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Due):
+                return [api.Cancel(1, 0)]
+            return [api.Submit(1, 6, 0.0)] if isinstance(event, api.Answer) else submits(event)
+        self.begin(answers)
+        self.arrive()
+        self.assertEqual(self.core.due(100.0, 0), [Stop(1, 0), Send(1, 1, 6, 510.0)])
+        self.assertEqual(self.ended(End.SETTLED, submission=0), [])
+        self.assertEqual(self.told(), [(End.CANCELLED, 90.0, False, 0.0)])
+
+    def test_no_more_submissions_than_allowed_nor_past_the_expiry(self) -> None:
+        def answers(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Txn) or isinstance(event, api.Answer) and event.end is End.UNREACHED:
+                return [api.Submit(event.txn, 5, 0.0)]
+            return [api.Decline(event.txn, 9.0)] if isinstance(event, api.Answer) else []
+        self.begin(answers)
+        self.arrive()
+        for n in range(2):
+            self.assertEqual(self.ended(End.UNREACHED, submission=n), [Send(1, n + 1, 5, 510.0)])
+        self.assertEqual(self.ended(End.UNREACHED, submission=2), [Reply(1, 503, 9.0, None)])
+        self.assertEqual(self.told()[-1], (End.NOT_SENT, 0.0, False, 0.0))
+
+    def test_a_client_that_left_is_owed_nothing(self) -> None:
+        def answers(event: api.Event) -> list[api.Action]:
+            return [api.Cancel(1, 0)] if isinstance(event, api.Left) else submits(event)
+        self.begin(answers)
+        self.arrive()
+        self.assertEqual(self.core.left(60.0, 1), [Stop(1, 0)])
+        self.assertEqual((self.told(), self.core.hand), ([(End.CANCELLED, 50.0, True, 0.0)], {}))
+
+    def test_a_fault_of_the_module_answers_its_txn_and_keeps_the_tick(self) -> None:
+        """503 promises that trying again is harmless: not once a submission may have run."""
+        def fails(event: api.Event) -> list[api.Action]:
+            if isinstance(event, kind):
+                raise ZeroDivisionError
+            return submits(event)
+        for kind, status, last in ((api.Txn, 503, None), (api.Answer, 500, End.ERROR),
+                                   (api.Answer, 503, End.FULL)):
+            with self.subTest(kind=kind, status=status):
+                self.begin(fails)
+                effects = self.arrive()
+                if last:
+                    effects = self.ended(last)
+                self.assertIn(Reply(1, status, 0.0, None), effects)
+                self.assertEqual(self.core.hand, {})
+        kind = api.Due
+        self.begin(fails)
+        effects = self.core.due(100.0, 0)
+        self.assertIsInstance(effects[0], Fault)
+        self.assertEqual(effects[1:], [api.Wake(100.0, 0)])
+
+    def test_an_adapter_that_failed_has_its_txn_answered(self) -> None:
+        self.begin()
+        self.arrive()
+        self.assertEqual(self.core.abandon(20.0, 1), [Reply(1, 500, 0.0, None), Stop(1, 0)])
+        self.assertEqual(self.told(), [(End.CANCELLED, 10.0, True, 0.0)])
