--- a/drumgw/__main__.py
+++ b/drumgw/__main__.py
@@ -1,10 +1,10 @@
 """python -m drumgw: one real gatekeeper, as its GW_ variables say."""
 from __future__ import annotations
 
-import asyncio
 import os
 import sys
 
+import uvloop
 from loguru import logger
 
 from drumgw.gate.charter import BadCharter, read_charter
@@ -19,7 +19,7 @@
     except BadCharter as bad:
         print(f"drumgw: {bad}", file=sys.stderr)
         return 2
-    asyncio.run(serve(charter))
+    uvloop.run(serve(charter))
     return 0
 
 
