--- a/drumgw/gate/clock.py
+++ b/drumgw/gate/clock.py
@@ -1,10 +1,18 @@
-"""Module time: Unix time in ms, anchored once, then carried by the monotonic clock so it never steps back."""
+"""Module time, and how long our own loop stood still: that time is ours, no worker's and no counter's."""
 from __future__ import annotations
 
+import asyncio
 import time
+from collections.abc import Callable
+
+from loguru import logger
+
+BEAT_MS = 20.0      # a beat later than this is a stall; a timer that late lets what has come be read first
 
 
 class Clock:
+    """Unix time in ms, anchored once, then carried by the monotonic clock so it never steps back."""
+
     def __init__(self) -> None:
         self.anchor = time.time() * 1000.0 - time.monotonic() * 1000.0
 
@@ -14,3 +22,53 @@
     def loop_time(self, at_ms: float) -> float:
         """The event loop's time (monotonic, seconds) of a moment in module time."""
         return (at_ms - self.anchor) / 1000.0
+
+
+class Pulse:
+    """Beats in the loop; a beat that comes late tells that the loop stood, and for how long."""
+
+    def __init__(self, clock: Clock, loop: asyncio.AbstractEventLoop) -> None:
+        self.clock, self.loop = clock, loop
+        self.due = clock.now() + BEAT_MS
+        self.stood_ms = 0.0     # since the start
+        self.lately_ms = 0.0    # in the last stall, until a beat is in time: what is read now may have waited
+        self.seen = False
+
+    def beat(self) -> None:
+        now = self.now()
+        if not self.seen:
+            self.lately_ms = 0.0
+        self.seen, self.due = False, now + BEAT_MS
+        self.loop.call_later(BEAT_MS / 1000.0, self.beat)
+
+    def now(self) -> float:
+        """The time; whoever asks first after a stall books it."""
+        now = self.clock.now()
+        if (late := now - self.due) > BEAT_MS:
+            self.stood_ms, self.due, self.seen = self.stood_ms + late, now, True
+            self.lately_ms += late
+            if late > 10 * BEAT_MS:
+                logger.warning("stood still for {:.0f} ms", late)
+        return now
+
+    def at(self, at_ms: float, call: Callable[[], None]) -> Timer:
+        return Timer(self, at_ms, call)
+
+
+class Timer:
+    """Calls at its time. Late after a stall it waits one beat more: the answer may be there, unread."""
+
+    __slots__ = ("pulse", "at_ms", "call", "handle")
+
+    def __init__(self, pulse: Pulse, at_ms: float, call: Callable[[], None]) -> None:
+        self.pulse, self.at_ms, self.call = pulse, at_ms, call
+        self.handle = pulse.loop.call_at(pulse.clock.loop_time(at_ms), self.ring)
+
+    def ring(self) -> None:
+        if self.pulse.now() - self.at_ms > BEAT_MS:
+            self.handle = self.pulse.loop.call_later(BEAT_MS / 1000.0, self.call)
+        else:
+            self.call()
+
+    def cancel(self) -> None:
+        self.handle.cancel()
--- a/drumgw/gate/core.py
+++ b/drumgw/gate/core.py
@@ -73,7 +73,7 @@
 
     def __init__(self, expiry: float) -> None:
         self.expiry, self.owed, self.ran, self.tries = expiry, True, False, 0
-        self.out: dict[int, tuple[int, float]] = {}     # submission: worker, sent at
+        self.out: dict[int, tuple[int, float]] = {}     # submission: worker, sent at (less our stalls)
 
 
 class Core:
@@ -84,14 +84,17 @@
         self.events: deque[api.Event] = deque()     # emptied by each call
         self.effects: list[Effect] = []
         self.taken = 0
+        self.stood = 0.0        # ms in which our own loop stood; they are in no submission's time
 
     def start(self, now: float, listed: api.Listed) -> list[Effect]:
         for action in self.keeper.start(now):
             self.act(now, action)
         return self.tell(now, listed)
 
-    def arrive(self, now: float, asked: Asked) -> tuple[int, list[Effect]]:
+    def arrive(self, now: float, asked: Asked, waited_ms: float = 0.0) -> tuple[int, list[Effect]]:
+        """A request that came while our loop stood has less time left than it says."""
         self.taken += 1
+        asked = asked._replace(left_ms=max(0.0, asked.left_ms - waited_ms)) if waited_ms else asked
         txn = self.taken
         self.hand[txn] = InHand(now + asked.left_ms)
         self.effects.append(Alarm(now + asked.left_ms, txn, -1))
@@ -193,7 +196,7 @@
         if n >= self.most or stop_at <= now or h.out and not self.copies:
             self.events.append(api.Answer(a.txn, n, a.worker, End.NOT_SENT, 0.0, False, 0.0, {}))
             return
-        h.out[n] = a.worker, now
+        h.out[n] = a.worker, now - self.stood
         self.effects.append(Send(a.txn, n, a.worker, stop_at))
         if stop_at < h.expiry:
             self.effects.append(Alarm(stop_at, a.txn, n))
@@ -213,7 +216,8 @@
               load: dict[str, float]) -> None:
         worker, sent = h.out.pop(n)
         h.ran = h.ran or end not in NEVER_RAN
-        self.events.append(api.Answer(txn, n, worker, end, now - sent, not h.owed, units, load))
+        took = now - self.stood - sent
+        self.events.append(api.Answer(txn, n, worker, end, took, not h.owed, units, load))
         self.drop(txn, h)
 
     def drop(self, txn: int, h: InHand) -> None:
--- a/drumgw/gate/counter.py
+++ b/drumgw/gate/counter.py
@@ -18,7 +18,7 @@
 class Counter:
     def __init__(self, charter: Charter, desk: Desk) -> None:
         assert charter.counter is not None
-        self.desk, self.loop = desk, desk.loop
+        self.desk, self.loop, self.pulse = desk, desk.loop, desk.pulse
         self.wait_ms = charter.terms.counter_wait_ms
         self.lines = Lines(COUNTER_LINES, IDLE_MS, None)
         self.address = "{}:{}".format(*charter.counter)
@@ -35,7 +35,8 @@
             self.desk.post(self.desk.core.total, order.name, End.UNREACHED, 0.0, 0.0)
             return
         self.waiting += 1
-        now, queue = self.desk.clock.now(), self.mailbox.get(order.name)
+        now = self.pulse.now() - self.pulse.stood_ms
+        queue = self.mailbox.get(order.name)
         if queue is not None:
             queue.append((order, now))
             return
@@ -50,16 +51,20 @@
             self.waiting -= 1
             if not queue:
                 del self.mailbox[name]
-            self.desk.post(self.desk.core.total, name, end, total, self.desk.clock.now() - asked_at)
+            took = self.pulse.now() - self.pulse.stood_ms - asked_at
+            self.desk.post(self.desk.core.total, name, end, total, took)
 
     async def ask(self, order: api.Add, until: float) -> tuple[End, float]:
         """A call that ends without an answer has its connection closed: a late total reaches nobody."""
         target = f"/counters/{order.name}?by={order.amount:.12g}&expire_ms={order.lives_ms:.0f}"
         request = (f"POST {target} HTTP/1.1\r\n"
                    f"Host: {self.address}\r\nContent-Length: 0\r\n\r\n")
-        trip = Trip()
+        if until <= self.pulse.now() - self.pulse.stood_ms:     # it waited for others of its name
+            return End.UNREACHED, 0.0
+        trip, timeout = Trip(), asyncio.timeout(None)
+        alarm = self.pulse.at(until + self.pulse.stood_ms, lambda: timeout.reschedule(0.0))
         try:
-            async with asyncio.timeout_at(self.desk.clock.loop_time(until)):
+            async with timeout:
                 message, body = await self.lines.ask(self.card, request.encode(), trip)
             if message.code == 200:
                 return End.SETTLED, float(body)
@@ -69,3 +74,5 @@
         except Exception as error:
             self.desk.complain(error, "the counter's line")
             return (End.TIMEOUT if trip.written else End.UNREACHED), 0.0
+        finally:
+            alarm.cancel()
--- a/drumgw/gate/desk.py
+++ b/drumgw/gate/desk.py
@@ -7,12 +7,13 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 from loguru import logger
 
 from drumgw import interface as api
-from drumgw.gate.clock import Clock
+from drumgw.gate.clock import Pulse, Timer
 from drumgw.gate.core import Alarm, Core, Effect, Fault, Reply, Send, Stop
 from drumgw.gate.door import Passage
 from drumgw.gate.invariant import invariant
@@ -29,8 +30,8 @@
 
 
 class Desk:
-    def __init__(self, core: Core, clock: Clock, most: int) -> None:
-        self.core, self.clock, self.loop = core, clock, asyncio.get_running_loop()
+    def __init__(self, core: Core, pulse: Pulse, most: int) -> None:
+        self.core, self.pulse, self.loop = core, pulse, pulse.loop
         self.workers: Workers | None = None     # set before the first txn
         self.counter: Counter | None = None
         self.most = most
@@ -38,7 +39,7 @@
         self.draining = False
         self.passages: dict[int, Passage] = {}      # txns in hand; emptied by their replies
         self.waiting: dict[int, asyncio.Future[Reply]] = {}     # the front's; emptied by the replies
-        self.alarms: dict[int, asyncio.TimerHandle] = {}        # expiries; emptied as txns leave the hand
+        self.alarms: dict[int, Timer] = {}        # expiries; emptied as txns leave the hand
         self.routes: dict[type, Callable[[Any], None]] = {
             Send: self.on_send, Stop: self.on_stop, Reply: self.on_reply, Alarm: self.on_alarm,
             Fault: self.on_fault, api.Add: self.on_add, api.Wake: self.on_wake, api.Say: self.on_say}
@@ -57,10 +58,15 @@
         try:
             while self.mailbox:
                 call, args = self.mailbox.popleft()
-                self.carry_out(call(self.clock.now(), *args))
+                self.carry_out(call(self.now(), *args))
         finally:
             self.draining = False
 
+    def now(self) -> float:
+        now = self.pulse.now()
+        self.core.stood = self.pulse.stood_ms
+        return now
+
     def carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
             try:
@@ -79,7 +85,8 @@
         reply: asyncio.Future[Reply] = self.loop.create_future()
         self.draining = True
         try:
-            passage.txn, effects = self.core.arrive(self.clock.now(), passage.asked)
+            now = self.now()
+            passage.txn, effects = self.core.arrive(now, passage.asked, self.pulse.lately_ms)
             self.passages[passage.txn], self.waiting[passage.txn] = passage, reply
             self.carry_out(effects)
         finally:
@@ -115,7 +122,7 @@
             alarm.cancel()
 
     def on_alarm(self, alarm: Alarm) -> None:
-        handle = self.loop.call_at(self.clock.loop_time(alarm.at_ms), self.ring, alarm)
+        handle = self.pulse.at(alarm.at_ms, partial(self.ring, alarm))
         if alarm.submission < 0:
             self.alarms[alarm.txn] = handle
 
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -9,7 +9,7 @@
 
 from drumgw.control import Gatekeeper
 from drumgw.gate.charter import Charter
-from drumgw.gate.clock import Clock
+from drumgw.gate.clock import Clock, Pulse
 from drumgw.gate.core import Core
 from drumgw.gate.counter import Counter
 from drumgw.gate.desk import Desk
@@ -23,9 +23,10 @@
 
 class Gateway:
     def __init__(self, charter: Charter) -> None:
-        self.charter, self.clock = charter, Clock()
+        self.charter = charter
+        self.pulse = Pulse(Clock(), asyncio.get_running_loop())
         core = Core(Gatekeeper(charter.seed, charter.terms), charter.terms)
-        self.desk = Desk(core, self.clock, most=4 * charter.lines)
+        self.desk = Desk(core, self.pulse, most=4 * charter.lines)
         self.workers = Workers(charter, self.desk)
         self.counter = Counter(charter, self.desk) if charter.counter else None
         self.roster = Roster(charter, self.desk, self.workers)
@@ -34,6 +35,7 @@
         self.term = asyncio.Event()
 
     async def open(self) -> tuple[str, int]:
+        self.pulse.beat()
         known = self.roster.first()
         self.desk.post(self.desk.core.start, known)
         self.watching = asyncio.create_task(self.roster.watch())
@@ -48,8 +50,8 @@
         logger.info("{} was told to end: {} txns in hand", self.charter.name, len(self.desk.waiting))
         await asyncio.sleep(LINGER_MS / 1000)
         self.front.close_idle()
-        end = self.clock.now() + self.charter.longest_ms
-        while self.desk.waiting and self.clock.now() < end:
+        end = self.pulse.now() + self.charter.longest_ms
+        while self.desk.waiting and self.pulse.now() < end:
             await asyncio.sleep(0.01)
         await self.front.server.shutdown(0.1)
         self.watching.cancel()
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -98,7 +98,7 @@
             self.tell(order.txn, order.submission, outcome)
 
     async def carry(self, order: Send, passage: Passage, worker: Worker, trip: Trip) -> Outcome:
-        left = max(1, round(order.stop_at_ms - self.desk.clock.now()))
+        left = max(1, round(order.stop_at_ms - self.desk.pulse.now()))
         request = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (passage.head, left, passage.body)
         try:
             message, body = await self.lines.ask(worker.card, request, trip)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -125,6 +125,15 @@
         self.assertIsInstance(effects[0], Fault)
         self.assertEqual(effects[1:], [api.Wake(100.0, 0)])
 
+    def test_the_time_our_own_loop_stood_is_no_submissions(self) -> None:
+        self.begin()
+        self.arrive()
+        self.core.stood = 30.0
+        self.ended(End.SETTLED)
+        self.assertEqual(self.told(), [(End.SETTLED, 20.0, True, 3.0)])
+        effects = self.core.arrive(600.0, Asked(500.0, 0, 1, 0, 2.0, False, 2, 0), 450.0)[1]
+        self.assertIn(Send(2, 0, 5, 650.0), effects)    # it may have waited unread through all of the stall
+
     def test_an_adapter_that_failed_has_its_txn_answered(self) -> None:
         self.begin()
         self.arrive()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -17,7 +17,7 @@
 from drumgw import __main__ as program
 from drumgw import interface as api
 from drumgw.gate.charter import BadCharter, Charter, read_charter
-from drumgw.gate.clock import Clock
+from drumgw.gate.clock import Clock, Pulse
 from drumgw.gate.gateway import Gateway
 from drumgw.gate.invariant import invariant
 from drumgw.interface import End
@@ -329,6 +329,27 @@
         with mock.patch("time.time", return_value=1.0), mock.patch("time.monotonic", return_value=7.0):
             self.assertEqual((clock.now(), clock.loop_time(1002000.0)), (1002000.0, 7.0))
 
+    def test_a_late_beat_is_our_stall_and_a_late_timer_lets_answers_be_read(self) -> None:
+        """Guards workers and counter against being judged by answers that lay unread while we stood."""
+        at, loop, rang = [1000.0], mock.Mock(), list[float]()
+        with mock.patch("time.time", lambda: 1.0), mock.patch("time.monotonic", lambda: at[0]):
+            pulse = Pulse(Clock(), loop)
+            timer = pulse.at(pulse.now() + 50.0, lambda: rang.append(at[0]))
+            at[0] += 0.02
+            pulse.beat()
+            self.assertEqual((pulse.stood_ms, pulse.lately_ms), (0.0, 0.0))
+            at[0] += 0.52       # 500 ms later than the beat was due
+            timer.ring()
+            self.assertEqual((round(pulse.stood_ms), rang), (500, []))
+            self.assertEqual(loop.call_later.call_args.args[0], 0.02)
+            pulse.beat()
+            self.assertEqual(round(pulse.lately_ms), 500)
+            at[0] += 0.02
+            pulse.beat()
+            self.assertEqual((round(pulse.stood_ms), pulse.lately_ms), (500, 0.0))
+            pulse.at(pulse.now(), lambda: rang.append(at[0])).ring()
+            self.assertEqual(rang, [at[0]])
+
     def test_an_invariant_asserts_in_debug_and_is_counted_in_release(self) -> None:
         invariant(True, "holds")
         with self.assertRaisesRegex(AssertionError, "what"):
