A fault in front, desk or core is logged and outlived; the end waits for requests just read

Seen on rereading: an error in an adapter's call from outside the module would have ended a submission's task and left its txn to nobody; at the end a request read in the last turn was in no table yet and would have been cut off. Now the mailbox goes on, the txn's alarm ends it, and the end counts connections that carry a request.

--- a/drumgw/gate/desk.py
+++ b/drumgw/gate/desk.py
@@ -58,7 +58,10 @@
         try:
             while self.mailbox:
                 call, args = self.mailbox.popleft()
-                self.carry_out(call(self.now(), *args))
+                try:
+                    self.carry_out(call(self.now(), *args))
+                except Exception as error:      # the txn it was for ends at its expiry, by its alarm
+                    self.complain(error, "the core")
         finally:
             self.draining = False
 
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -65,6 +65,9 @@
         except Unfit as unfit:
             answer = Whole(unfit.status, f"{unfit}\n".encode())
             closes = True       # whatever else it sends is not read
+        except Exception as error:
+            self.desk.complain(error, "the front")
+            answer = Whole(500)     # a submission may be out
         if closes or self.closing:
             answer.force_close()
         return answer
@@ -97,10 +100,15 @@
         """Not ready any more, yet all that comes is still served; each connection closes after its answer."""
         self.ready, self.closing = False, True
 
-    def close_idle(self) -> None:
+    def close_idle(self) -> int:
+        """Closes what is idle; returns how many connections still carry a request."""
         if self.socket is not None:
             self.socket.close()
+        busy = 0
         for connection in self.server.connections:
             waiter = connection._waiter     # idle is what aiohttp's own keep-alive timer takes for it; its
             if waiter is not None and not waiter.done():    # close() would leave the socket open
                 connection.force_close()
+            else:
+                busy += 1
+        return busy
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -49,9 +49,8 @@
         self.front.withdraw()
         logger.info("{} was told to end: {} txns in hand", self.charter.name, len(self.desk.waiting))
         await asyncio.sleep(LINGER_MS / 1000)
-        self.front.close_idle()
         end = self.pulse.now() + self.charter.longest_ms
-        while self.desk.waiting and self.pulse.now() < end:
+        while self.front.close_idle() and self.pulse.now() < end:   # one read just now is not in hand yet
             await asyncio.sleep(0.01)
         await self.front.server.shutdown(0.1)
         self.watching.cancel()
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -31,6 +31,7 @@
         self.charter, self.desk, self.workers = charter, desk, workers
         self.base = "http://{}:{}/registry/instances".format(*charter.discovery)
         self.generation: int | None = None
+        self.heard = True
         self.states: dict[str, Health] = {}     # workers on the list; emptied by it
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=2, use_dns_cache=False),
@@ -51,14 +52,25 @@
                 if told.get("instances") or told.get("reset"):
                     self.desk.post(self.desk.core.listed, self.read(told, bool(told.get("reset"))))
                 self.generation = told.get("generation", self.generation)
+                self.hear(None)
             except (aiohttp.ClientError, OSError, TimeoutError) as error:
-                logger.debug("discovery: {!r}", error)
+                self.hear(error)
                 await asyncio.sleep(AGAIN_MS / 1000)
             except Exception as error:      # an answer that cannot be read: the last list stands
                 logger.error("the worker list cannot be read: {!r}", error)
                 self.generation = None
                 await asyncio.sleep(AGAIN_MS / 1000)
 
+    def hear(self, error: Exception | None) -> None:
+        """A line for each change of mode; a silent watch that ends in time is no loss."""
+        if self.heard is (error is None):
+            return
+        self.heard = error is None
+        if error is None:
+            logger.info("discovery heard")
+        else:
+            logger.warning("discovery lost: {}; the last list stands", error or type(error).__name__)
+
     async def ask(self) -> dict[str, Any]:
         query = "" if self.generation is None else f"?since={self.generation}&timeout_ms={WATCH_MS}"
         async with self.session.get(URL(self.base + query, encoded=True)) as answer:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import time
 from typing import Any
@@ -30,7 +29,8 @@
         await request.read()
         await asyncio.sleep(0.05)
         print(f"{name}: {request.method} {request.path_qs}, id {request.headers.get('Request-Id')}")
-        return web.Response(text=f"{name} did it\n", headers={"Billed-Units": "1", "Server-Load": "TEXT mean_ms=50"})
+        told = {"Billed-Units": "1", "Server-Load": "TEXT mean_ms=50"}
+        return web.Response(text=f"{name} did it\n", headers=told)
 
     async def count(self, request: web.BaseRequest) -> web.StreamResponse:
         now, name = time.monotonic(), request.path.rsplit("/", 1)[-1]
@@ -53,8 +53,8 @@
         return web.json_response({"generation": self.generation, "reset": whole, "instances": rows})
 
     def row(self, name: str) -> dict[str, Any]:
-        return {"instanceId": name, "hostPort": f"127.0.0.1:{WORKERS[name]}", "zone": "a", "machineType": "toy",
-                "cell": 0, "lifecycle": self.states[name], "weight": 1.0, "startedAtMs": 0}
+        return {"instanceId": name, "hostPort": f"127.0.0.1:{WORKERS[name]}", "zone": "a", "cell": 0,
+                "machineType": "toy", "lifecycle": self.states[name], "weight": 1.0, "startedAtMs": 0}
 
     async def flip(self, name: str) -> None:
         self.states[name] = "draining" if self.states[name] == "up" else "up"
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -182,6 +182,8 @@
         for status, asked in cases:
             self.assertEqual((await self.ask(**asked))[0], status, asked)
         self.assertEqual(self.gateway.desk.core.taken, 0)
+        self.assertEqual((await self.ask(method="POST", body=b"x" * (64 * 1024)))[0], 503)  # no worker
+        self.assertEqual(self.gateway.desk.core.taken, 1)
 
     async def test_declined_with_a_time_to_come_back(self) -> None:
         await self.begin(settings=settings(tiersOfService=[{**PLAN, "unitsPerS": 1.0, "peakUnits": 4.0}]))
@@ -194,7 +196,12 @@
         await self.begin(worker.address)
         with mock.patch.object(self.gateway.desk.core.keeper, "handle", side_effect=KeyError("x")):
             self.assertEqual((await self.ask())[0], 503)
-        self.assertEqual((await self.ask())[:2], (200, b"ok"))
+        for where in ("drumgw.gate.front.read_asked", "drumgw.gate.core.Core.arrive"):
+            with mock.patch(where, side_effect=KeyError("x")):
+                self.assertEqual((await self.ask())[0], 500)
+        with mock.patch("drumgw.gate.core.Core.ended", side_effect=KeyError("x")):
+            status, _, _ = await self.ask(Request_Timeout="50m")    # its expiry ends it
+        self.assertEqual((status, (await self.ask())[:2]), (503, (200, b"ok")))
 
 
 class Ends(GateCase):
