--- a/drumgw/gate/clock.py
+++ b/drumgw/gate/clock.py
@@ -7,7 +7,8 @@
 
 from loguru import logger
 
-BEAT_MS = 20.0      # a beat later than this is a stall; a timer that late lets what has come be read first
+BEAT_MS = 100.0     # each beat wakes the loop, which costs as much as a small txn
+LATE_MS = 20.0      # a beat later than this is a stall; a timer that late lets what has come be read first
 
 
 class Clock:
@@ -30,33 +31,33 @@
     def __init__(self, clock: Clock, loop: asyncio.AbstractEventLoop) -> None:
         self.clock, self.loop = clock, loop
         self.due = clock.now() + BEAT_MS
-        self.stood_ms = 0.0     # since the start
-        self.lately_ms = 0.0    # in the last stall, until a beat is in time: what is read now may have waited
-        self.seen = False
+        self.stood_ms = 0.0     # since the start; at most a beat less than it was
+        self.lately_ms = 0.0    # for a moment after a stall: what is read now may have waited through it
 
     def beat(self) -> None:
-        now = self.now()
-        if not self.seen:
-            self.lately_ms = 0.0
-        self.seen, self.due = False, now + BEAT_MS
+        self.due = self.now() + BEAT_MS
         self.loop.call_later(BEAT_MS / 1000.0, self.beat)
 
     def now(self) -> float:
         """The time; whoever asks first after a stall books it."""
         now = self.clock.now()
-        if (late := now - self.due) > BEAT_MS:
-            self.stood_ms, self.due, self.seen = self.stood_ms + late, now, True
-            self.lately_ms += late
-            if late > 10 * BEAT_MS:
+        if (late := now - self.due) > LATE_MS:
+            self.due, self.stood_ms, self.lately_ms = now, self.stood_ms + late, self.lately_ms + late
+            self.loop.call_later(LATE_MS / 1000.0, self.past, self.stood_ms)
+            if late > BEAT_MS:
                 logger.warning("stood still for {:.0f} ms", late)
         return now
 
+    def past(self, stood_ms: float) -> None:
+        if stood_ms == self.stood_ms:   # not again since
+            self.lately_ms = 0.0
+
     def at(self, at_ms: float, call: Callable[[], None]) -> Timer:
         return Timer(self, at_ms, call)
 
 
 class Timer:
-    """Calls at its time. Late after a stall it waits one beat more: the answer may be there, unread."""
+    """Calls at its time. Late after a stall it waits a little more: the answer may be there, unread."""
 
     __slots__ = ("pulse", "at_ms", "call", "handle")
 
@@ -65,8 +66,8 @@
         self.handle = pulse.loop.call_at(pulse.clock.loop_time(at_ms), self.ring)
 
     def ring(self) -> None:
-        if self.pulse.now() - self.at_ms > BEAT_MS:
-            self.handle = self.pulse.loop.call_later(BEAT_MS / 1000.0, self.call)
+        if self.pulse.now() - self.at_ms > LATE_MS:
+            self.handle = self.pulse.loop.call_later(LATE_MS / 1000.0, self.call)
         else:
             self.call()
 
