Calls to the counter are written one behind another, so that a spend is told at once

Line at fault: Counter.run waited for each answer of a name before it wrote the next call, so in a customer's burst the spends stood behind all reads asked before them, and other gateways read totals without them. Ruled out: lateness of the loop (0.3 ms), the counter's own delay (no call unanswered). Now a name's calls go behind each other on one lane, other names on other lanes; a late total is dropped on its lane.

--- a/drumgw/gate/counter.py
+++ b/drumgw/gate/counter.py
@@ -1,78 +1,175 @@
-"""The counter's actor: calls of one name in their order, each alone on its connection until answered."""
+"""The counter's actor and its lanes: calls are written one behind another, answers come in their order."""
 from __future__ import annotations
 
-import asyncio
 from collections import deque
+from functools import partial
+
+from aiohttp import ServerDisconnectedError
+from aiohttp.http_parser import RawResponseMessage
 
 from drumgw import interface as api
 from drumgw.gate.charter import COUNTER_LINES, Charter
+from drumgw.gate.clock import Timer
 from drumgw.gate.desk import Desk
-from drumgw.gate.line import Lines, Trip
-from drumgw.gate.workers import BROKEN
+from drumgw.gate.line import BROKEN, Lines, Trip
 from drumgw.interface import End
 
 IDLE_MS = 5000.0        # the counter closes what stood idle for about 10 s or less (the protocol's figure)
 TURNED_AWAY = (400, 404, 503)
 
 
+class Call:
+    """One call. Its answer counts until its time is over, and is told once."""
+
+    __slots__ = ("order", "asked_at", "written", "end", "total", "took_ms", "timer")
+
+    def __init__(self, order: api.Add, asked_at: float) -> None:
+        self.order, self.asked_at, self.written = order, asked_at, False
+        self.end: End | None = None
+        self.total = self.took_ms = 0.0
+        self.timer: Timer | None = None
+
+
+class Lane:
+    """A connection to the counter. Its mailbox holds the calls that were not answered on it."""
+
+    def __init__(self, counter: Counter) -> None:
+        self.counter, self.trip, self.open, self.used_at = counter, Trip(), True, counter.pulse.now()
+        self.mailbox: deque[Call] = deque()     # emptied by answers, or at once when the lane closes
+        self.task = counter.loop.create_task(self.run())
+
+    def put(self, call: Call) -> None:
+        self.mailbox.append(call)
+        if self.trip.connection is not None:
+            self.write(call)
+
+    def write(self, call: Call) -> None:
+        connection, order = self.trip.connection, call.order
+        if connection is None or connection.transport is None:
+            return
+        target = f"/counters/{order.name}?by={order.amount:.12g}&expire_ms={order.lives_ms:.0f}"
+        connection.transport.write((f"POST {target} HTTP/1.1\r\nHost: {self.counter.address}\r\n"
+                                    "Content-Length: 0\r\n\r\n").encode())
+        call.written = True
+
+    async def run(self) -> None:
+        """Connects, writes what has gathered, then hands each answer to the oldest call."""
+        lines = self.counter.lines
+        try:
+            self.trip.connection = connection = await lines.connect(self.counter.card)
+            if (protocol := connection.protocol) is None:
+                raise ServerDisconnectedError
+            protocol.set_response_params(auto_decompress=False)
+            for call in self.mailbox:
+                self.write(call)
+            while self.open or self.mailbox:
+                message, payload = await protocol.read()
+                body = await payload.read()
+                if message.code >= 200:
+                    self.answered(message, body)
+                if message.should_close:
+                    break
+        except BROKEN:
+            pass
+        except Exception as error:
+            self.counter.desk.complain(error, "the counter's lane")
+        self.close()
+
+    def answered(self, message: RawResponseMessage, body: bytes) -> None:
+        if not self.mailbox:
+            raise ServerDisconnectedError   # it answers what nobody asked
+        call, end, total = self.mailbox.popleft(), End.TIMEOUT, 0.0
+        self.used_at = self.counter.pulse.now()
+        if message.code in TURNED_AWAY:
+            end = End.FULL
+        elif message.code == 200:
+            try:
+                end, total = End.SETTLED, float(body)
+            except ValueError:
+                pass
+        self.counter.ended(call, end, total)
+        if not self.open:
+            self.retire()
+
+    def retire(self) -> None:
+        """Takes no new calls; closed once nobody waits for it, as it may stay silent for ever."""
+        self.open = False
+        if all(call.end is not None for call in self.mailbox):
+            self.close()
+
+    def close(self) -> None:
+        self.open = False
+        self.counter.lanes.discard(self)
+        rest, self.mailbox = self.mailbox, deque()
+        self.trip.close()
+        self.task.cancel()
+        for call in rest:       # written, it may have been added, or may yet be
+            self.counter.ended(call, End.TIMEOUT if call.written else End.UNREACHED, 0.0)
+
+
 class Counter:
     def __init__(self, charter: Charter, desk: Desk) -> None:
         assert charter.counter is not None
         self.desk, self.loop, self.pulse = desk, desk.loop, desk.pulse
-        self.wait_ms = charter.terms.counter_wait_ms
+        self.wait_ms, self.most = charter.terms.counter_wait_ms, 4 * charter.lines
         self.lines = Lines(COUNTER_LINES, IDLE_MS, None)
         self.address = "{}:{}".format(*charter.counter)
         self.card = self.lines.card(self.address)
-        self.mailbox: dict[int, deque[tuple[api.Add, float]]] = {}  # calls by name; emptied by their answers
-        self.waiting, self.most = 0, 4 * charter.lines
+        self.lanes: set[Lane] = set()       # 32 at most; emptied as they close
+        self.names: dict[int, tuple[deque[Call], Lane | None]] = {}     # calls out; emptied by their ends
+        self.waiting = 0
 
     async def close(self) -> None:
+        for lane in list(self.lanes):
+            lane.close()
         await self.lines.close()
 
     def call(self, order: api.Add) -> None:
-        """The module reads the answers of a name in the order of its calls, so one at a time is out."""
-        if self.waiting >= self.most:
-            self.desk.post(self.desk.core.total, order.name, End.UNREACHED, 0.0, 0.0)
-            return
-        self.waiting += 1
-        now = self.pulse.now() - self.pulse.stood_ms
-        queue = self.mailbox.get(order.name)
-        if queue is not None:
-            queue.append((order, now))
+        """Calls of a name go behind each other on one lane, so none waits for another's answer."""
+        now = self.pulse.now()
+        call = Call(order, now - self.pulse.stood_ms)
+        queue, last = self.names.get(order.name, (deque(), None))
+        lane = last if last is not None and last.open else self.lane(now)
+        queue.append(call)
+        self.waiting, self.names[order.name] = self.waiting + 1, (queue, lane)
+        if lane is None or self.waiting > self.most:
+            self.ended(call, End.UNREACHED, 0.0)
             return
-        self.mailbox[order.name] = deque([(order, now)])
-        self.loop.create_task(self.run(order.name, self.mailbox[order.name]))
+        call.timer = self.pulse.at(now + self.wait_ms, partial(self.overdue, call, lane))
+        lane.put(call)
+
+    def lane(self, now: float) -> Lane | None:
+        """An idle one, a new one while there may be more, else the one with the fewest calls."""
+        lanes = [lane for lane in self.lanes if lane.open]
+        for lane in lanes:
+            if lane.mailbox:
+                continue
+            if now - lane.used_at < IDLE_MS:
+                return lane
+            lane.close()
+        if len(self.lanes) < COUNTER_LINES:
+            lane = Lane(self)
+            self.lanes.add(lane)
+            return lane
+        return min(lanes, key=lambda x: len(x.mailbox)) if lanes else None
 
-    async def run(self, name: int, queue: deque[tuple[api.Add, float]]) -> None:
-        while queue:
-            order, asked_at = queue[0]
-            end, total = await self.ask(order, asked_at + self.wait_ms)
+    def overdue(self, call: Call, lane: Lane) -> None:
+        """A late total reaches nobody: its call is over, and new calls go to another lane."""
+        self.ended(call, End.TIMEOUT if call.written else End.UNREACHED, 0.0)
+        lane.retire()
+
+    def ended(self, call: Call, end: End, total: float) -> None:
+        """Told in the order of the name's calls, as the module reads them."""
+        if call.end is not None:
+            return
+        call.end, call.total = end, total
+        call.took_ms = self.pulse.now() - self.pulse.stood_ms - call.asked_at
+        if call.timer is not None:
+            call.timer.cancel()
+        queue, _ = self.names[call.order.name]
+        while queue and (first := queue[0]).end is not None:
             queue.popleft()
             self.waiting -= 1
             if not queue:
-                del self.mailbox[name]
-            took = self.pulse.now() - self.pulse.stood_ms - asked_at
-            self.desk.post(self.desk.core.total, name, end, total, took)
-
-    async def ask(self, order: api.Add, until: float) -> tuple[End, float]:
-        """A call that ends without an answer has its connection closed: a late total reaches nobody."""
-        target = f"/counters/{order.name}?by={order.amount:.12g}&expire_ms={order.lives_ms:.0f}"
-        request = (f"POST {target} HTTP/1.1\r\n"
-                   f"Host: {self.address}\r\nContent-Length: 0\r\n\r\n")
-        if until <= self.pulse.now() - self.pulse.stood_ms:     # it waited for others of its name
-            return End.UNREACHED, 0.0
-        trip, timeout = Trip(), asyncio.timeout(None)
-        alarm = self.pulse.at(until + self.pulse.stood_ms, lambda: timeout.reschedule(0.0))
-        try:
-            async with timeout:
-                message, body = await self.lines.ask(self.card, request.encode(), trip)
-            if message.code == 200:
-                return End.SETTLED, float(body)
-            return (End.FULL if message.code in TURNED_AWAY else End.TIMEOUT), 0.0
-        except (*BROKEN, TimeoutError, ValueError):     # written whole, it may have been added
-            return (End.TIMEOUT if trip.written else End.UNREACHED), 0.0
-        except Exception as error:
-            self.desk.complain(error, "the counter's line")
-            return (End.TIMEOUT if trip.written else End.UNREACHED), 0.0
-        finally:
-            alarm.cancel()
+                del self.names[call.order.name]
+            self.desk.post(self.desk.core.total, first.order.name, first.end, first.total, first.took_ms)
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -1,4 +1,4 @@
-"""One request at a time on each kept connection: aiohttp's connector and parser, without its session.
+"""Connections kept and used by one exchange at a time: aiohttp's connector and parser, without its session.
 
 Its session costs twice this in CPU and tells neither whether a request was written nor when a cancelled one's
 connection is closed; the bytes go out as they are given, and nothing is ever sent twice.
@@ -8,10 +8,11 @@
 import asyncio
 
 import aiohttp
+from aiohttp.http import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 from yarl import URL
 
-MOST_HEAD = 8190
+BROKEN = (aiohttp.ClientError, HttpProcessingError, aiohttp.EofStream, OSError, TimeoutError)
 
 
 class Trip:
@@ -48,10 +49,13 @@
         """What the connector knows a peer by."""
         return aiohttp.ClientRequest("GET", URL(f"http://{address}"), loop=self.loop)
 
+    async def connect(self, card: aiohttp.ClientRequest) -> aiohttp.connector.Connection:
+        return await self.connector.connect(card, [], self.patience)
+
     async def ask(self, card: aiohttp.ClientRequest, request: bytes, trip: Trip
                   ) -> tuple[RawResponseMessage, bytes]:
         """The whole answer. Where it raises or is cancelled, the connection is closed."""
-        trip.connection = connection = await self.connector.connect(card, [], self.patience)
+        trip.connection = connection = await self.connect(card)
         try:
             protocol = connection.protocol
             if protocol is None or protocol.transport is None:
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -5,18 +5,16 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.http import HttpProcessingError
 
 from drumgw.gate.charter import Charter
 from drumgw.gate.core import Send, Stop
 from drumgw.gate.desk import Desk
 from drumgw.gate.door import Passage
-from drumgw.gate.line import Lines, Trip
+from drumgw.gate.line import BROKEN, Lines, Trip
 from drumgw.interface import End
 from drumgw.terms import LOADS
 
 TURNED_AWAY = (503, 504)
-BROKEN = (aiohttp.ClientError, HttpProcessingError, aiohttp.EofStream, OSError)
 Key = tuple[int, int]
 
 
@@ -102,7 +100,7 @@
         request = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (passage.head, left, passage.body)
         try:
             message, body = await self.lines.ask(worker.card, request, trip)
-        except (*BROKEN, TimeoutError):     # before its last byte was written it cannot have run
+        except BROKEN:      # before its last byte was written it cannot have run
             return Outcome(End.BROKEN if trip.written else End.UNREACHED)
         except Exception as error:
             self.desk.complain(error, "a worker's line")
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -129,6 +129,8 @@
 
     def __init__(self, answer: Answerer) -> None:
         self.answer, self.came, self.left = answer, list[tuple[bytes, bytes]](), asyncio.Event()
+        self.lines: list[asyncio.StreamWriter] = []     # every connection that came
+        self.pipelined = False      # reads on while an answer is awaited; answers in order all the same
 
     async def open(self) -> StandIn:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -136,28 +138,34 @@
         return self
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.lines.append(writer)
+        answers: asyncio.Queue[asyncio.Future[bytes | None]] = asyncio.Queue()
+        writing = asyncio.ensure_future(self.write(answers, writer))
         try:
-            while True:
+            while not writing.done():
                 came = await read_message(reader)
                 self.came.append(came)
-                answer = await self.answer(*came)
-                if answer is None:
-                    await reader.read()     # ends when the other side closes
-                    break
-                if not answer:
-                    writer.transport.abort()
-                    break
-                writer.write(answer)
-                if isinstance(answer, Half):
-                    await writer.drain()
-                    writer.write_eof()
-                    break
+                answer = asyncio.ensure_future(self.answer(*came))
+                answers.put_nowait(answer)
+                if not self.pipelined:
+                    await asyncio.wait([answer])
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self.left.set()
+            writing.cancel()
             writer.close()
 
+    async def write(self, answers: asyncio.Queue[asyncio.Future[bytes | None]], writer: asyncio.StreamWriter
+                    ) -> None:
+        while (answer := await (await answers.get())) is not None:
+            if not answer:
+                writer.transport.abort()
+                return
+            writer.write(answer)
+            if isinstance(answer, Half):
+                writer.write_eof()
+
 
 async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
     head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -299,34 +299,76 @@
 
 
 class Counts(GateCase):
-    async def test_totals_come_in_the_order_of_calls_and_a_late_one_reaches_nobody(self) -> None:
-        """Guards the books: one call is never answered, and the next must not be given its total."""
-        silent: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        answers = [silent, http(b"7.5"), http(status=503), b"", http(b"what")]
-        counter = await self.stand_in(lambda head, body: answers.pop(0))
-        family = {"counter": True, "countWaitMs": 50.0}
+    async def begin_counting(self, answer: Any) -> StandIn:
+        """A gateway whose counter is the test's; what it hears of totals goes to heard."""
+        counter = await self.stand_in(answer)
+        family = {"counter": True, "countWaitMs": 60000.0}
         gateway = await self.begin(settings=settings(familyInfo=family), counter=counter.address)
-        heard: list[tuple[int, End, float]] = []
+        self.heard: list[tuple[int, End, float]] = []
 
         def total(now: float, name: int, end: End, total: float, took: float) -> list[Any]:
-            heard.append((name, end, total))
+            self.heard.append((name, end, total))
             return []
-        with mock.patch.object(gateway.desk.core, "total", total):
-            assert gateway.counter
-            gateway.counter.wait_ms = 200.0
-            gateway.counter.call(api.Add(5, -2.5, 4000.0))
-            while not heard:
-                await asyncio.sleep(0.001)
-            silent.set_result(http(b"99"))
-            gateway.counter.wait_ms = 60000.0
-            for _ in range(4):
-                gateway.counter.call(api.Add(5, 1.0, 4000.0))
-            while len(heard) < 5:
-                await asyncio.sleep(0.001)
-        self.assertEqual(heard, [(5, End.TIMEOUT, 0.0), (5, End.SETTLED, 7.5), (5, End.FULL, 0.0),
-                                 (5, End.TIMEOUT, 0.0), (5, End.TIMEOUT, 0.0)])
+        patch = mock.patch.object(gateway.desk.core, "total", total)
+        patch.start()
+        self.addCleanup(patch.stop)
+        assert gateway.counter
+        self.call = gateway.counter.call
+        return counter
+
+    async def until_heard(self, count: int) -> list[tuple[int, End, float]]:
+        while len(self.heard) < count:
+            await asyncio.sleep(0.001)
+        return self.heard
+
+    async def test_calls_of_a_name_are_written_behind_each_other(self) -> None:
+        """Guards the quota: a spend told only after all reads before it were answered came too late."""
+        first: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        answers = [first, http(b"2"), http(status=503), http(b"what"), b""]
+        counter = await self.begin_counting(lambda head, body: answers.pop(0))
+        counter.pipelined = True
+        for n in range(5):
+            self.call(api.Add(5, -2.5 + n, 4000.0))
+        while len(counter.came) < 5:
+            await asyncio.sleep(0.001)
+        self.assertEqual((self.heard, len(counter.lines)), ([], 1))
+        first.set_result(http(b"-1.5"))
+        self.assertEqual(await self.until_heard(5), [(5, End.SETTLED, -1.5), (5, End.SETTLED, 2.0), (
+            5, End.FULL, 0.0), (5, End.TIMEOUT, 0.0), (5, End.TIMEOUT, 0.0)])
         self.assertEqual(counter.came[0][0].split()[1], b"/counters/5?by=-2.5&expire_ms=4000")
-        self.assertEqual(gateway.counter.mailbox, {})
+        gateway = self.gateway.counter
+        assert gateway
+        self.assertEqual((gateway.names, gateway.lanes, gateway.waiting), ({}, set(), 0))
+
+    async def test_a_late_total_reaches_nobody_and_order_is_kept(self) -> None:
+        """Guards the books: one call is never answered in time, and the next must not be given its total."""
+        first: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        answers = [first, http(b"7.5"), http(b"8")]
+        counter = await self.begin_counting(lambda head, body: answers.pop(0))
+        counter.pipelined = True
+        self.call(api.Add(5, 1.0, 4000.0))
+        self.call(api.Add(5, 1.0, 4000.0))
+        while len(counter.came) < 2:
+            await asyncio.sleep(0.001)
+        gateway = self.gateway.counter
+        assert gateway
+        ((late, _), lane) = gateway.names[5]
+        assert lane
+        gateway.overdue(late, lane)
+        self.call(api.Add(5, 1.0, 4000.0))      # on another lane; answered first, told in its turn
+        while len(counter.came) < 3 or len(counter.lines) < 2:
+            await asyncio.sleep(0.001)
+        self.assertEqual(self.heard, [(5, End.TIMEOUT, 0.0)])
+        first.set_result(http(b"99"))
+        self.assertEqual(await self.until_heard(3), [(5, End.TIMEOUT, 0.0), (5, End.SETTLED, 7.5), (
+            5, End.SETTLED, 8.0)])
+
+    async def test_a_refused_connection_adds_nothing(self) -> None:
+        counter = await self.begin_counting(http(b"1"))
+        counter.server.close()
+        await counter.server.wait_closed()
+        self.call(api.Add(5, 1.0, 4000.0))
+        self.assertEqual(await self.until_heard(1), [(5, End.UNREACHED, 0.0)])
 
 
 class SmallParts(unittest.TestCase):
