Kept connections as old as a silence are not used again

Guards once-only txns on a worker that was cut off: its kept connections stay open and silent, a new one fails in the connect time, and what never ran goes elsewhere. A submission stopped unanswered after the connect time, a broken or refused connection, or a new entry in the list dates the worker; connections not heard since then are closed when their turn comes. Could cost handshakes where answers are merely slow.

--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 import aiohttp
@@ -31,6 +32,7 @@
 
     def __init__(self, card: aiohttp.ClientRequest) -> None:
         self.card, self.open = card, True
+        self.since = 0.0        # kept connections not heard since then may be as dead as what showed it
         self.mailbox: dict[Key, tuple[asyncio.Task[None], Trip]] = {}   # emptied by ends and stops
 
 
@@ -38,6 +40,7 @@
     def __init__(self, charter: Charter, desk: Desk) -> None:
         self.desk, self.loop, self.most = desk, desk.loop, charter.lines
         self.lines = Lines(charter.lines, charter.idle_ms, charter.connect_ms)
+        self.silent_s = charter.connect_ms / 1000.0
         self.reports = bool(charter.terms.load_names)
         self.actors: dict[int, Worker] = {}     # workers on the list; emptied by it
         self.where: dict[Key, Worker] = {}      # submissions out; emptied by ends and stops
@@ -51,9 +54,8 @@
         worker = self.actors.get(number)
         card = self.lines.card(address)
         if worker is None:
-            self.actors[number] = Worker(card)
-        else:
-            worker.card, worker.open = card, True
+            worker = self.actors[number] = Worker(card)
+        worker.card, worker.open, worker.since = card, True, time.monotonic()
 
     def drain(self, number: int, gone: bool) -> None:
         """Guards the drain: what waits for a connection and was not written yet is not sent any more."""
@@ -82,6 +84,8 @@
         worker = self.where.pop((order.txn, order.submission), None)
         if worker is not None:
             task, trip = worker.mailbox.pop((order.txn, order.submission))
+            if trip.written and time.monotonic() - trip.began > self.silent_s:
+                worker.since = max(worker.since, trip.began)
             trip.close()
             task.cancel()
 
@@ -99,8 +103,9 @@
         left = max(1, round(order.stop_at_ms - self.desk.pulse.now()))
         request = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (passage.head, left, passage.body)
         try:
-            message, body = await self.lines.ask(worker.card, request, trip)
+            message, body = await self.lines.ask(worker.card, request, trip, worker.since)
         except BROKEN:      # before its last byte was written it cannot have run
+            worker.since = time.monotonic()
             return Outcome(End.BROKEN if trip.written else End.UNREACHED)
         except Exception as error:
             self.desk.complain(error, "a worker's line")
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -142,7 +142,7 @@
         answers: asyncio.Queue[asyncio.Future[bytes | None]] = asyncio.Queue()
         writing = asyncio.ensure_future(self.write(answers, writer))
         try:
-            while not writing.done():
+            while True:
                 came = await read_message(reader)
                 self.came.append(came)
                 answer = asyncio.ensure_future(self.answer(*came))
