--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -14,6 +14,7 @@
 from drumgw.gate.counter import Counter
 from drumgw.gate.desk import Desk
 from drumgw.gate.front import Front
+from drumgw.gate.invariant import broken
 from drumgw.gate.roster import Roster
 from drumgw.gate.workers import Workers
 
@@ -57,8 +58,8 @@
         for part in (self.workers, self.counter, self.roster):
             if part is not None:
                 await part.close()
-        logger.info("{} ends: {} txns taken, {} left open", self.charter.name, self.desk.core.taken,
-                    len(self.desk.waiting))
+        logger.info("{} ends: {} txns taken, {} left open, invariants broken: {}", self.charter.name,
+                    self.desk.core.taken, len(self.desk.waiting), dict(broken) or "none")
 
 
 async def serve(charter: Charter) -> None:
