Drained workers' unsent submissions come back after the list, and as no fault of theirs

Seen on rereading: the roster drained the actors before the module heard of the list, so what came back could go to another worker draining in the same list, and rested the worker as unreached. Now the module hears first and they come back as not sent; so does what timed out in connecting while our own loop stood.

--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -50,7 +50,7 @@
             try:
                 told = await self.ask()
                 if told.get("instances") or told.get("reset"):
-                    self.desk.post(self.desk.core.listed, self.read(told, bool(told.get("reset"))))
+                    self.take(told, bool(told.get("reset")))
                 self.generation = told.get("generation", self.generation)
                 self.hear(None)
             except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -78,6 +78,15 @@
             told: dict[str, Any] = json.loads(await answer.read())
             return told
 
+    def take(self, told: dict[str, Any], whole: bool) -> None:
+        """The module first: what the drained workers give back must not go to others of the same list."""
+        self.desk.post(self.desk.core.listed, self.read(told, whole))
+        for name, health in self.states.items():
+            if health is Health.DRAINING:
+                self.workers.drain(worker_id(name), gone=False)
+        for number in self.workers.actors.keys() - {worker_id(name) for name in self.states}:
+            self.workers.drain(number, gone=True)
+
     def read(self, told: dict[str, Any], whole: bool) -> api.Listed:
         rows = [(row, self.entry(row)) for row in told["instances"]]
         if whole:
@@ -103,8 +112,5 @@
         logger.info("worker {} ({}) is {}", worker_id(name), name, health.value)
         if health is Health.GONE:
             self.states.pop(name, None)
-            self.workers.drain(worker_id(name), gone=True)
-            return
-        self.states[name] = health
-        if health is Health.DRAINING:
-            self.workers.drain(worker_id(name), gone=False)
+        else:
+            self.states[name] = health
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -66,14 +66,14 @@
         for (txn, n), (_, trip) in list(worker.mailbox.items()):
             if not trip.written:
                 self.stop(Stop(txn, n))
-                self.tell(txn, n, Outcome(End.UNREACHED))
+                self.tell(txn, n, Outcome(End.NOT_SENT))    # no fault of the worker
 
     # From the desk
 
     def send(self, order: Send, passage: Passage) -> None:
         key, worker = (order.txn, order.submission), self.actors.get(order.worker)
         if worker is None or not worker.open or len(worker.mailbox) >= self.most:
-            self.tell(order.txn, order.submission, Outcome(End.UNREACHED))
+            self.tell(order.txn, order.submission, Outcome(End.NOT_SENT))
             return
         trip = Trip()
         worker.mailbox[key] = self.loop.create_task(self.run(order, passage, worker, trip)), trip
@@ -102,11 +102,14 @@
     async def carry(self, order: Send, passage: Passage, worker: Worker, trip: Trip) -> Outcome:
         left = max(1, round(order.stop_at_ms - self.desk.pulse.now()))
         request = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (passage.head, left, passage.body)
+        stood = self.desk.pulse.stood_ms
         try:
             message, body = await self.lines.ask(worker.card, request, trip, worker.since)
-        except BROKEN:      # before its last byte was written it cannot have run
+        except BROKEN as error:     # before its last byte was written it cannot have run
             worker.since = time.monotonic()
-            return Outcome(End.BROKEN if trip.written else End.UNREACHED)
+            self.desk.pulse.now()
+            ours = isinstance(error, TimeoutError) and stood < self.desk.pulse.stood_ms
+            return Outcome(End.BROKEN if trip.written else End.NOT_SENT if ours else End.UNREACHED)
         except Exception as error:
             self.desk.complain(error, "a worker's line")
             return Outcome(End.BROKEN if trip.written else End.UNREACHED)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -316,6 +316,25 @@
         self.assertEqual((gateway.workers.where, gateway.desk.core.hand), ({}, {}))
 
 
+    async def test_a_connect_time_that_ran_out_in_our_own_stall_is_no_fault_of_the_worker(self) -> None:
+        gateway = await self.begin("127.0.0.1:1")
+        told, stalls = list[End](), [0.0, 300.0]
+
+        async def connect(*args: Any) -> Any:
+            gateway.pulse.stood_ms += stalls.pop(0)
+            raise TimeoutError
+
+        def ended(now: float, txn: int, submission: int, end: End, *rest: Any) -> list[Any]:
+            told.append(end)
+            return []
+        with mock.patch.object(gateway.workers.lines.connector, "connect", connect), \
+                mock.patch.object(gateway.pulse, "now", gateway.pulse.clock.now), \
+                mock.patch.object(gateway.desk.core, "ended", ended):
+            for _ in range(2):
+                await self.ask(Request_Timeout="50m")
+        self.assertEqual(told, [End.UNREACHED, End.NOT_SENT])
+
+
 class Counts(GateCase):
     async def begin_counting(self, answer: Any) -> StandIn:
         """A gateway whose counter is the test's; what it hears of totals goes to heard."""
