--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -4,8 +4,10 @@
 import asyncio
 from typing import Any
 
-from aiohttp import web
+from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
+from aiohttp.web_server import Server
 
 from drumgw.gate.charter import MOST_BODY, Charter
 from drumgw.gate.desk import Desk
@@ -14,7 +16,7 @@
 READY, LIVE = "/health/ready", "/health/live"
 
 
-class Whole(web.StreamResponse):
+class Whole(StreamResponse):
     """An answer written in one piece, with the headers that are needed and no others."""
 
     def __init__(self, status: int, body: bytes = b"", header: str = "") -> None:
@@ -37,7 +39,7 @@
     def __init__(self, charter: Charter, desk: Desk) -> None:
         self.charter, self.desk = charter, desk
         self.ready = self.closing = False
-        self.server = web.Server(
+        self.server = Server(
             self.handle, handler_cancellation=True, request_factory=self.factory, access_log=None,
             auto_decompress=False)      # the body passes as the bytes that came
         self.socket: asyncio.Server | None = None
@@ -79,7 +81,7 @@
         if request.body_exists:
             try:
                 body = await request.read()
-            except web.HTTPRequestEntityTooLarge as large:
+            except HTTPRequestEntityTooLarge as large:
                 raise Unfit(413, "the body is too large") from large
         passage = Passage(write_head(request.method, target, headers, body), body, asked)
         waiting = self.desk.take(passage)
