One bad list entry hides no others; what cannot start says so in one line, exit code 2

Seen on rereading: an entry out of discovery's form made the whole answer unreadable, and the list was then asked for twenty times a second with a line each; a known list that cannot be read or a taken address ended in a trace. Now the entry is left out with a line, discovery's modes are told once, and both are one line and exit code 2.

--- a/drumgw/__main__.py
+++ b/drumgw/__main__.py
@@ -15,11 +15,10 @@
     logger.remove()
     logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level: <7} {message}")
     try:
-        charter = read_charter(os.environ)
+        uvloop.run(serve(read_charter(os.environ)))
     except BadCharter as bad:
         print(f"drumgw: {bad}", file=sys.stderr)
         return 2
-    uvloop.run(serve(charter))
     return 0
 
 
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -9,7 +9,7 @@
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
-from drumgw.gate.charter import MOST_BODY, Charter
+from drumgw.gate.charter import MOST_BODY, BadCharter, Charter
 from drumgw.gate.desk import Desk
 from drumgw.gate.door import Passage, Unfit, read_asked, write_head
 
@@ -50,7 +50,10 @@
 
     async def open(self) -> tuple[str, int]:
         host, port = self.charter.listen
-        self.socket = await self.desk.loop.create_server(self.server, host, port, backlog=1024)
+        try:
+            self.socket = await self.desk.loop.create_server(self.server, host, port, backlog=1024)
+        except OSError as error:
+            raise BadCharter(f"cannot listen at {host}:{port}: {error}") from error
         self.ready = True
         bound = self.socket.sockets[0].getsockname()
         return bound[0], bound[1]
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from drumgw.control import Gatekeeper
-from drumgw.gate.charter import Charter
+from drumgw.gate.charter import BadCharter, Charter
 from drumgw.gate.clock import Clock, Pulse
 from drumgw.gate.core import Core
 from drumgw.gate.counter import Counter
@@ -34,6 +34,7 @@
         self.front = Front(charter, self.desk)
         self.desk.workers, self.desk.counter = self.workers, self.counter
         self.term = asyncio.Event()
+        self.watching: asyncio.Task[None] | None = None
 
     async def open(self) -> tuple[str, int]:
         self.pulse.beat()
@@ -54,18 +55,26 @@
         while self.front.close_idle() and self.pulse.now() < end:   # one read just now is not in hand yet
             await asyncio.sleep(0.01)
         await self.front.server.shutdown(0.1)
-        self.watching.cancel()
+        await self.shut()
+        logger.info("{} ends: {} txns taken, {} left open, invariants broken: {}", self.charter.name,
+                    self.desk.core.taken, len(self.desk.waiting), dict(broken) or "none")
+
+    async def shut(self) -> None:
+        if self.watching is not None:
+            self.watching.cancel()
         for part in (self.workers, self.counter, self.roster):
             if part is not None:
                 await part.close()
-        logger.info("{} ends: {} txns taken, {} left open, invariants broken: {}", self.charter.name,
-                    self.desk.core.taken, len(self.desk.waiting), dict(broken) or "none")
 
 
 async def serve(charter: Charter) -> None:
     gateway = Gateway(charter)
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, gateway.term.set)
-    await gateway.open()
+    try:
+        await gateway.open()
+    except BadCharter:
+        await gateway.shut()
+        raise
     gc.collect()
     gc.freeze()     # what lives as long as the process is not walked again
     gc.set_threshold(GARBAGE)   # a txn leaves few cycles behind; memory has room for more of them
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -12,7 +12,7 @@
 from yarl import URL
 
 from drumgw import interface as api
-from drumgw.gate.charter import Charter
+from drumgw.gate.charter import BadCharter, Charter
 from drumgw.gate.desk import Desk
 from drumgw.gate.workers import Workers
 from drumgw.interface import Health
@@ -39,7 +39,10 @@
             timeout=aiohttp.ClientTimeout(total=(WATCH_MS + SILENT_MS) / 1000))
 
     def first(self) -> api.Listed:
-        return self.read(self.charter.known, whole=True)
+        try:
+            return self.read(self.charter.known, whole=True)
+        except (KeyError, TypeError, AttributeError) as bad:
+            raise BadCharter(f"known cannot be read: {bad!r}") from bad
 
     async def close(self) -> None:
         await self.session.close()
@@ -53,13 +56,9 @@
                     self.take(told, bool(told.get("reset")))
                 self.generation = told.get("generation", self.generation)
                 self.hear(None)
-            except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            except Exception as error:      # no answer, or none that can be read
                 self.hear(error)
                 await asyncio.sleep(AGAIN_MS / 1000)
-            except Exception as error:      # an answer that cannot be read: the last list stands
-                logger.error("the worker list cannot be read: {!r}", error)
-                self.generation = None
-                await asyncio.sleep(AGAIN_MS / 1000)
 
     def hear(self, error: Exception | None) -> None:
         """A line for each change of mode; a silent watch that ends in time is no loss."""
@@ -88,17 +87,23 @@
             self.workers.drain(number, gone=True)
 
     def read(self, told: dict[str, Any], whole: bool) -> api.Listed:
-        rows = [(row, self.entry(row)) for row in told["instances"]]
-        if whole:
-            for name in set(self.states) - {row["instanceId"] for row, _ in rows}:
-                self.change(name, Health.GONE)
-        for row, entry in rows:
+        entries, named = [], set[str]()
+        for row in told["instances"]:
+            try:
+                entry, name = self.entry(row), str(row["instanceId"])
+            except (KeyError, TypeError, ValueError) as bad:    # one bad entry does not hide the others
+                logger.warning("an entry of the worker list cannot be read: {!r} in {}", bad, row)
+                continue
+            entries.append(entry)
+            named.add(name)
             if entry.health is Health.READY:
                 self.workers.place(entry.worker, row["hostPort"])
-            self.change(row["instanceId"], entry.health)
+            self.change(name, entry.health)
+        for name in set(self.states) - named if whole else ():
+            self.change(name, Health.GONE)
         if self.generation is None:
             self.generation = told.get("generation")
-        return api.Listed(whole, tuple(entry for _, entry in rows))
+        return api.Listed(whole, tuple(entries))
 
     def entry(self, row: dict[str, Any]) -> api.Entry:
         return api.Entry(
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -74,6 +74,7 @@
     while line := await asyncio.to_thread(sys.stdin.readline):
         if line.strip() in WORKERS:
             await toy.flip(line.strip())
+    await asyncio.Event().wait()    # no one types
 
 
 if __name__ == "__main__":
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -7,6 +7,7 @@
 import io
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -265,11 +266,26 @@
                 self.assertEqual(program.main(), 2)
             self.assertEqual(said.getvalue().count("\n"), 1)
         bad: dict[str, Any]
+        for bad in ({"known": {"instances": 5}}, {"listen": self.place_taken()}):
+            with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+                json.dump({**told("127.0.0.1:1", []), **bad}, file)
+                file.flush()
+                run = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "drumgw", env={**os.environ, "GW_CONFIG": file.name},
+                    stderr=asyncio.subprocess.PIPE)
+                _, line = await run.communicate()
+            self.assertEqual((run.returncode, line.count(b"\n"), line[:8]), (2, 1, b"drumgw: "), line)
         for bad in ({"listen": "x"}, {"settings": {}}, {"limits": {"sockets": 20}}, {"seed": "?"}):
             with self.assertRaises(BadCharter):
                 charter({**told("127.0.0.1:1", []), **bad})
 
 
+    def place_taken(self) -> str:
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        return "{}:{}".format(*taken.getsockname())
+
+
 class List(GateCase):
     async def test_the_list_is_watched_without_a_gap_and_drains_are_passed_on(self) -> None:
         news: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
@@ -281,13 +297,14 @@
         gateway = await self.begin("127.0.0.1:1", "127.0.0.1:2", watch=watch)
         states = gateway.roster.states
         rows = [instance("s-0", "127.0.0.1:1", "draining"), instance("s-1", "127.0.0.1:2", "removed"),
+                {"instanceId": "s-odd"}, instance("s-odd", "127.0.0.1:1", "upside down"),
                 instance("s-2", "127.0.0.1:3")]
         news.put_nowait({"generation": 2, "reset": False, "instances": rows})
         while len(asked) < 2:
             await asyncio.sleep(0.001)
         self.assertEqual(states, {"s-0": api.Health.DRAINING, "s-2": api.Health.READY})
         self.assertEqual([w.open for w in gateway.workers.actors.values()], [False, True])
-        news.put_nowait({"generation": 3, "reset": True, "instances": rows[2:]})
+        news.put_nowait({"generation": 3, "reset": True, "instances": rows[4:]})
         while len(asked) < 3:
             await asyncio.sleep(0.001)
         self.assertEqual(states, {"s-2": api.Health.READY})
