Kept connections are used whatever their age again: the guard cost more than it gave

What it did: every submission called off as overdue cost its worker's other kept connections, and connections that then failed to come up rested that worker for all products.

--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -6,11 +6,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from weakref import WeakKeyDictionary
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
 from yarl import URL
@@ -21,10 +18,9 @@
 class Trip:
     """An exchange under way. It can be given up at any time; its connection is then closed at once."""
 
-    __slots__ = ("connection", "written", "began")
+    __slots__ = ("connection", "written")
 
     def __init__(self) -> None:
-        self.began = time.monotonic()
         self.connection: aiohttp.connector.Connection | None = None
         self.written = False        # whole, as far as we know: from then on it may have run
 
@@ -48,7 +44,6 @@
         self.patience = aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
         self.connector = aiohttp.TCPConnector(
             limit=most, keepalive_timeout=idle_ms / 1000.0, force_close=not idle_ms, use_dns_cache=False)
-        self.heard: WeakKeyDictionary[ResponseHandler, float] = WeakKeyDictionary()    # last answers on each
 
     def card(self, address: str) -> aiohttp.ClientRequest:
         """What the connector knows a peer by."""
@@ -57,16 +52,11 @@
     async def connect(self, card: aiohttp.ClientRequest) -> aiohttp.connector.Connection:
         return await self.connector.connect(card, [], self.patience)
 
-    async def ask(self, card: aiohttp.ClientRequest, request: bytes, trip: Trip, since: float = 0.0
+    async def ask(self, card: aiohttp.ClientRequest, request: bytes, trip: Trip
                   ) -> tuple[RawResponseMessage, bytes]:
-        """The whole answer, on a connection that was heard since then, or a new one. Where it raises or is
-        cancelled, the connection is closed."""
-        while True:
-            trip.connection = connection = await self.connect(card)
-            protocol = connection.protocol
-            if protocol is None or self.heard.get(protocol, since) >= since:
-                break
-            trip.close()
+        """The whole answer. Where it raises or is cancelled, the connection is closed."""
+        trip.connection = connection = await self.connect(card)
+        protocol = connection.protocol
         try:
             if protocol is None or protocol.transport is None:
                 raise aiohttp.ServerDisconnectedError
@@ -81,7 +71,6 @@
             trip.close()
             raise
         trip.connection = None
-        self.heard[protocol] = time.monotonic()
         connection.release()
         return message, body
 
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Any
 
 import aiohttp
@@ -32,7 +31,6 @@
 
     def __init__(self, card: aiohttp.ClientRequest) -> None:
         self.card, self.open = card, True
-        self.since = 0.0        # kept connections not heard since then may be as dead as what showed it
         self.mailbox: dict[Key, tuple[asyncio.Task[None], Trip]] = {}   # emptied by ends and stops
 
 
@@ -40,7 +38,6 @@
     def __init__(self, charter: Charter, desk: Desk) -> None:
         self.desk, self.loop, self.most = desk, desk.loop, charter.lines
         self.lines = Lines(charter.lines, charter.idle_ms, charter.connect_ms)
-        self.silent_s = charter.connect_ms / 1000.0
         self.reports = bool(charter.terms.load_names)
         self.actors: dict[int, Worker] = {}     # workers on the list; emptied by it
         self.where: dict[Key, Worker] = {}      # submissions out; emptied by ends and stops
@@ -55,7 +52,7 @@
         card = self.lines.card(address)
         if worker is None:
             worker = self.actors[number] = Worker(card)
-        worker.card, worker.open, worker.since = card, True, time.monotonic()
+        worker.card, worker.open = card, True
 
     def drain(self, number: int, gone: bool) -> None:
         """Guards the drain: what waits for a connection and was not written yet is not sent any more."""
@@ -84,8 +81,6 @@
         worker = self.where.pop((order.txn, order.submission), None)
         if worker is not None:
             task, trip = worker.mailbox.pop((order.txn, order.submission))
-            if trip.written and time.monotonic() - trip.began > self.silent_s:
-                worker.since = max(worker.since, trip.began)
             trip.close()
             task.cancel()
 
@@ -104,9 +99,8 @@
         request = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (passage.head, left, passage.body)
         stood = self.desk.pulse.stood_ms
         try:
-            message, body = await self.lines.ask(worker.card, request, trip, worker.since)
+            message, body = await self.lines.ask(worker.card, request, trip)
         except BROKEN as error:     # before its last byte was written it cannot have run
-            worker.since = time.monotonic()
             self.desk.pulse.now()
             ours = isinstance(error, TimeoutError) and stood < self.desk.pulse.stood_ms
             return Outcome(End.BROKEN if trip.written else End.NOT_SENT if ours else End.UNREACHED)
