--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from drumgw import interface as api
-from drumgw.terms import BadTerms, Names, read_terms
+from drumgw.terms import Names, read_terms
 
 RESERVED = 24           # descriptors for standard streams, the loop, the listener, the list and log files
 COUNTER_LINES = 32      # what the counter holds of one gatekeeper (the protocol's figure)
@@ -59,7 +59,7 @@
         return _charter(told, env)
     except KeyError as lack:
         raise BadCharter(f"{path}: missing {lack.args[0]}") from lack
-    except (BadTerms, BadCharter, TypeError, ValueError, AttributeError) as bad:
+    except (TypeError, ValueError, AttributeError) as bad:
         raise BadCharter(f"{path}: {str(bad).splitlines()[0]}") from bad
 
 
--- a/drumgw/gate/core.py
+++ b/drumgw/gate/core.py
@@ -10,7 +10,6 @@
 from typing import Any, NamedTuple, Protocol
 
 from drumgw import interface as api
-from drumgw.gate.door import Asked
 from drumgw.gate.invariant import invariant
 from drumgw.interface import End
 
@@ -91,14 +90,13 @@
             self.act(now, action)
         return self.tell(now, listed)
 
-    def arrive(self, now: float, asked: Asked, waited_ms: float = 0.0) -> tuple[int, list[Effect]]:
+    def arrive(self, now: float, asked: api.Txn, waited_ms: float = 0.0) -> tuple[int, list[Effect]]:
         """A request that came while our loop stood has less time left than it says."""
         self.taken += 1
-        asked = asked._replace(left_ms=max(0.0, asked.left_ms - waited_ms)) if waited_ms else asked
-        txn = self.taken
-        self.hand[txn] = InHand(now + asked.left_ms)
-        self.effects.append(Alarm(now + asked.left_ms, txn, -1))
-        return txn, self.tell(now, api.Txn(txn, *asked))
+        txn, left_ms = self.taken, max(0.0, asked.left_ms - waited_ms)
+        self.hand[txn] = InHand(now + left_ms)
+        self.effects.append(Alarm(now + left_ms, txn, -1))
+        return txn, self.tell(now, asked._replace(txn=txn, left_ms=left_ms))
 
     def ended(self, now: float, txn: int, submission: int, end: End, units: float, load: dict[str, float],
               answer: Any) -> list[Effect]:
@@ -238,7 +236,6 @@
 
     def end_by_self(self, now: float, txn: int, h: InHand) -> None:
         """503 says that trying again is harmless: only where no submission may have run."""
-        invariant(not h.out or h.owed, "a txn with submissions out is in hand")
         ran = h.ran or bool(h.out)
         self.reply(txn, h, FAILED if ran else REFUSED, 0.0, None)
         for n in list(h.out):
--- a/drumgw/gate/desk.py
+++ b/drumgw/gate/desk.py
@@ -37,8 +37,7 @@
         self.most = most
         self.mailbox: deque[tuple[Callable[..., list[Effect]], tuple[Any, ...]]] = deque()  # emptied by drain
         self.draining = False
-        self.passages: dict[int, Passage] = {}      # txns in hand; emptied by their replies
-        self.waiting: dict[int, asyncio.Future[Reply]] = {}     # the front's; emptied by the replies
+        self.waiting: dict[int, tuple[Passage, asyncio.Future[Reply]]] = {}     # emptied by the replies
         self.alarms: dict[int, Timer] = {}        # expiries; emptied as txns leave the hand
         self.routes: dict[type, Callable[[Any], None]] = {
             Send: self.on_send, Stop: self.on_stop, Reply: self.on_reply, Alarm: self.on_alarm,
@@ -90,7 +89,7 @@
         try:
             now = self.now()
             passage.txn, effects = self.core.arrive(now, passage.asked, self.pulse.lately_ms)
-            self.passages[passage.txn], self.waiting[passage.txn] = passage, reply
+            self.waiting[passage.txn] = passage, reply
             self.carry_out(effects)
         finally:
             self.draining = False
@@ -99,7 +98,6 @@
 
     def left(self, txn: int) -> None:
         self.waiting.pop(txn, None)
-        self.passages.pop(txn, None)
         self.post(self.core.left, txn)
         self.disarm(txn)
 
@@ -107,15 +105,14 @@
 
     def on_send(self, order: Send) -> None:
         assert self.workers is not None
-        self.workers.send(order, self.passages[order.txn])
+        self.workers.send(order, self.waiting[order.txn][0])
 
     def on_stop(self, order: Stop) -> None:
         assert self.workers is not None
         self.workers.stop(order)
 
     def on_reply(self, reply: Reply) -> None:
-        self.passages.pop(reply.txn, None)
-        waiting = self.waiting.pop(reply.txn, None)
+        _, waiting = self.waiting.pop(reply.txn, (None, None))
         if waiting is not None and not waiting.done():
             waiting.set_result(reply)
         self.disarm(reply.txn)
--- a/drumgw/gate/door.py
+++ b/drumgw/gate/door.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import isfinite
-from typing import NamedTuple
 
+from drumgw.interface import Txn
 from drumgw.terms import Names
 
 UNITS_MS = {"m": 1.0, "u": 0.001}
@@ -20,24 +20,13 @@
         self.status = status
 
 
-class Asked(NamedTuple):
-    left_ms: float
-    plan: int
-    customer: int
-    product: int
-    units: float
-    repeat: bool
-    gates: int
-    first: int
-
-
 @dataclass(slots=True)
 class Passage:
     """What goes on to a worker as it came, and what was taken out of it."""
 
     head: bytes     # request line and headers, without Request-Timeout, which each submission adds
     body: bytes
-    asked: Asked
+    asked: Txn      # its number is given by the core
     txn: int = 0
 
 
@@ -52,7 +41,7 @@
     return ("\r\n".join(lines) + "\r\n").encode("utf-8", "surrogateescape")
 
 
-def read_asked(names: Names, method: str, target: str, headers: Mapping[str, str]) -> Asked:
+def read_asked(names: Names, method: str, target: str, headers: Mapping[str, str]) -> Txn:
     """The fields of a request; raises Unfit where one is missing or means nothing here."""
     if method not in METHODS:
         raise Unfit(405, f"method {method} is not known")
@@ -73,7 +62,7 @@
         raise Unfit(400, f"missing or unusable: {bad}") from bad
     if not (isfinite(left) and left > 0 and isfinite(units) and units >= 0 and gates >= 1 and first >= 0):
         raise Unfit(400, "Request-Timeout or Quota-Info is out of its range")
-    return Asked(left, plan, customer, product, units, headers.get("Client-Retry") == "1", gates, first)
+    return Txn(0, left, plan, customer, product, units, headers.get("Client-Retry") == "1", gates, first)
 
 
 def _left(text: str) -> float:
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -61,7 +61,7 @@
     async def handle(self, request: BaseRequest) -> Whole:
         """One request of a client. Cancelled when the client closes its connection: then it has gone away."""
         target: str = request._message.path     # the raw target; the public form is decoded and re-encoded
-        closes = self.closing or len(self.server._connections) > self.charter.lines
+        closes = len(self.server._connections) > self.charter.lines
         try:
             if target in (READY, LIVE):
                 answer = Whole(200 if self.ready or target == LIVE else 503)
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -48,10 +48,8 @@
     # From the list
 
     def place(self, number: int, address: str) -> None:
-        worker = self.actors.get(number)
         card = self.lines.card(address)
-        if worker is None:
-            worker = self.actors[number] = Worker(card)
+        worker = self.actors.setdefault(number, Worker(card))
         worker.card, worker.open = card, True
 
     def drain(self, number: int, gone: bool) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,7 +6,6 @@
 
 from drumgw import interface as api
 from drumgw.gate.core import Core, Effect, Fault, Reply, Send, Stop
-from drumgw.gate.door import Asked
 from drumgw.interface import End
 from tests.stage import terms
 
@@ -43,7 +42,7 @@
         self.core.start(0.0, api.Listed(True, ()))
 
     def arrive(self) -> list[Effect]:
-        return self.core.arrive(10.0, Asked(500.0, 0, 1, 0, 2.0, False, 2, 0))[1]
+        return self.core.arrive(10.0, api.Txn(0, 500.0, 0, 1, 0, 2.0, False, 2, 0))[1]
 
     def ended(self, end: End, at: float = 60.0, submission: int = 0) -> list[Effect]:
         return self.core.ended(at, 1, submission, end, 3.0, {}, b"ok" if end is End.SETTLED else None)
@@ -131,7 +130,7 @@
         self.core.stood = 30.0
         self.ended(End.SETTLED)
         self.assertEqual(self.told(), [(End.SETTLED, 20.0, True, 3.0)])
-        effects = self.core.arrive(600.0, Asked(500.0, 0, 1, 0, 2.0, False, 2, 0), 450.0)[1]
+        effects = self.core.arrive(600.0, api.Txn(0, 500.0, 0, 1, 0, 2.0, False, 2, 0), 450.0)[1]
         self.assertIn(Send(2, 0, 5, 650.0), effects)    # it may have waited unread through all of the stall
 
     def test_an_adapter_that_failed_has_its_txn_answered(self) -> None:
