SIGHUP moves discovery and the counter instead of ending the process

Cause: gateway.serve handled SIGTERM only.

Now the charter is read whole again (its discovery stands over GW_DISCOVERY); an unusable one is one line in the log and moves nothing. The watch's call is cancelled and goes on at the new address with its version; lanes to the counter take no new calls and stay until those out on them end; the list and the books stand.

--- a/drumgw/__main__.py
+++ b/drumgw/__main__.py
@@ -3,6 +3,7 @@
 
 import os
 import sys
+from functools import partial
 
 import uvloop
 from loguru import logger
@@ -15,7 +16,7 @@
     logger.remove()
     logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level: <7} {message}")
     try:
-        uvloop.run(serve(read_charter(os.environ)))
+        uvloop.run(serve(read_charter(os.environ), partial(read_charter, os.environ, again=True)))
     except BadCharter as bad:
         print(f"drumgw: {bad}", file=sys.stderr)
         return 2
--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -44,7 +44,10 @@
     return host, int(port)
 
 
-def read_charter(env: Mapping[str, str]) -> Charter:
+def read_charter(env: Mapping[str, str], again: bool = False) -> Charter:
+    """Read again after SIGHUP, the file names discovery; GW_DISCOVERY says where it was at the start."""
+    if again:
+        env = {name: value for name, value in env.items() if name != "GW_DISCOVERY"}
     path = env.get("GW_CONFIG")
     if not path:
         raise BadCharter("GW_CONFIG names no file")
--- a/drumgw/gate/counter.py
+++ b/drumgw/gate/counter.py
@@ -113,11 +113,17 @@
         self.desk, self.loop, self.pulse = desk, desk.loop, desk.pulse
         self.wait_ms, self.most = charter.terms.counter_wait_ms, 4 * charter.lines
         self.lines = Lines(COUNTER_LINES, IDLE_MS, None)
-        self.address = "{}:{}".format(*charter.counter)
-        self.card = self.lines.card(self.address)
         self.lanes: set[Lane] = set()       # 32 at most; emptied as they close
         self.names: dict[int, tuple[deque[Call], Lane | None]] = {}     # calls out; emptied by their ends
         self.waiting = 0
+        self.move(charter.counter)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """New calls go there; those out may still be answered where they were asked."""
+        self.address = "{}:{}".format(*address)
+        self.card = self.lines.card(self.address)
+        for lane in list(self.lanes):
+            lane.retire()
 
     async def close(self) -> None:
         for lane in list(self.lanes):
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -4,6 +4,8 @@
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
+from functools import partial
 
 from loguru import logger
 
@@ -59,6 +61,19 @@
         logger.info("{} ends: {} txns taken, {} left open, invariants broken: {}", self.charter.name,
                     self.desk.core.taken, len(self.desk.waiting), dict(broken) or "none")
 
+    def reload(self, read: Callable[[], Charter]) -> None:
+        """SIGHUP: discovery and the counter move; the list, the books and all in hand stay as they are."""
+        try:
+            told = read()
+        except BadCharter as bad:
+            logger.warning("SIGHUP: {}; the old configuration stands", bad)
+            return
+        self.roster.move(told.discovery)
+        if self.counter is not None and told.counter is not None:
+            self.counter.move(told.counter)
+        logger.info("SIGHUP: discovery at {}:{}, counter at {}", *told.discovery,
+                    "{}:{}".format(*told.counter) if told.counter else "none")
+
     async def shut(self) -> None:
         if self.watching is not None:
             self.watching.cancel()
@@ -67,9 +82,10 @@
                 await part.close()
 
 
-async def serve(charter: Charter) -> None:
-    gateway = Gateway(charter)
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, gateway.term.set)
+async def serve(charter: Charter, again: Callable[[], Charter]) -> None:
+    gateway, loop = Gateway(charter), asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, gateway.term.set)
+    loop.add_signal_handler(signal.SIGHUP, partial(gateway.reload, again))
     try:
         await gateway.open()
     except BadCharter:
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -29,7 +29,8 @@
 class Roster:
     def __init__(self, charter: Charter, desk: Desk, workers: Workers) -> None:
         self.charter, self.desk, self.workers = charter, desk, workers
-        self.base = "http://{}:{}/registry/instances".format(*charter.discovery)
+        self.base = ""      # where discovery is asked; set by move
+        self.asking: asyncio.Task[dict[str, Any]] | None = None     # the call that is out
         self.generation: int | None = None
         self.heard = True
         self.states: dict[str, Health] = {}     # workers on the list; emptied by it
@@ -38,6 +39,15 @@
             cookie_jar=aiohttp.DummyCookieJar(), skip_auto_headers=(hdrs.USER_AGENT,),
             timeout=aiohttp.ClientTimeout(total=(WATCH_MS + SILENT_MS) / 1000))
 
+        self.move(charter.discovery)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The watch goes on there at once: the old address may keep its call for as long as it likes."""
+        self.base = "http://{}:{}/registry/instances".format(*address)
+        asking, self.asking = self.asking, None
+        if asking is not None:
+            asking.cancel()
+
     def first(self) -> api.Listed:
         try:
             return self.read(self.charter.known, whole=True)
@@ -50,12 +60,16 @@
     async def watch(self) -> None:
         """Each next call at once after an answer; while discovery is silent the last list stands."""
         while True:
+            asking = self.asking = asyncio.create_task(self.ask())
             try:
-                told = await self.ask()
+                told = await asking
                 if told.get("instances") or told.get("reset"):
                     self.take(told, bool(told.get("reset")))
                 self.generation = told.get("generation", self.generation)
                 self.hear(None)
+            except asyncio.CancelledError:
+                if asking is self.asking:       # it is the watch that ends, not a call that moves
+                    raise
             except Exception as error:      # no answer, or none that can be read
                 self.hear(error)
                 await asyncio.sleep(AGAIN_MS / 1000)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -7,6 +7,7 @@
 import io
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -71,11 +72,15 @@
     async def begin(self, *addresses: str, watch: Any = None, **more: Any) -> Gateway:
         discovery = await self.stand_in(watch)
         instances = [instance(f"s-{n}", address) for n, address in enumerate(addresses)]
-        self.gateway = Gateway(charter(told(discovery.address, instances, **more)))
+        self.told = told(discovery.address, instances, **more)
+        self.gateway = Gateway(charter(self.told))
         self.place = await self.gateway.open()
         self.addAsyncCleanup(self.end)
         return self.gateway
 
+    def reload(self, **more: Any) -> None:
+        self.gateway.reload(lambda: charter({**self.told, **more}))
+
     async def end(self) -> None:
         with mock.patch("drumgw.gate.gateway.LINGER_MS", 0.0):
             await self.gateway.close()
@@ -240,6 +245,9 @@
             assert run.stderr
             while b" serves at " not in (line := await run.stderr.readline()):
                 self.assertTrue(line, "it ended early")
+            run.send_signal(signal.SIGHUP)      # its default is to end the process
+            while b"SIGHUP: discovery" not in (line := await run.stderr.readline()):
+                self.assertTrue(line, "it ended early")
             run.terminate()
             self.assertIn(b"0 left open", await run.stderr.read())
             self.assertEqual(await run.wait(), 0)
@@ -293,6 +301,24 @@
         self.assertEqual([target.split(b"&")[0].split(b"?")[1] for target in asked],
                          [b"since=1", b"since=2", b"since=3"])
 
+    async def test_the_watch_goes_on_at_the_new_address_at_once(self) -> None:
+        """SIGHUP: the old discovery keeps its call; an unusable configuration moves nothing."""
+        asked = asyncio.Event()
+        news = {"generation": 2, "reset": False, "instances": [instance("s-1", "127.0.0.1:2")]}
+        answers = [http(json.dumps(news).encode())]
+        new = await self.stand_in(lambda *came: answers.pop() if answers else None)
+        gateway = await self.begin("127.0.0.1:1", watch=lambda *came: asked.set())
+        await asked.wait()
+        with mock.patch("drumgw.gate.gateway.logger") as log:
+            self.reload(discovery="nowhere")
+            self.assertIn("old configuration stands", log.warning.call_args[0][0])
+        self.assertEqual((len(new.came), list(gateway.roster.states)), (0, ["s-0"]))
+        self.reload(discovery=new.address)
+        while len(new.came) < 2:
+            await asyncio.sleep(0.001)
+        self.assertIn(b"?since=1&", new.came[0][0])
+        self.assertEqual(list(gateway.roster.states), ["s-0", "s-1"])
+
     async def test_a_list_that_cannot_be_read_leaves_the_last(self) -> None:
         answers = [http(b"{]"), http(status=503), http(json.dumps(
             {"generation": 9, "reset": True, "instances": [instance("s-9", "127.0.0.1:9")]}).encode())]
@@ -399,6 +425,21 @@
         self.assertEqual(await self.until_heard(3), [(5, End.TIMEOUT, 0.0), (5, End.SETTLED, 7.5), (
             5, End.SETTLED, 8.0)])
 
+    async def test_the_counter_moves_and_calls_out_end_where_they_were_asked(self) -> None:
+        """SIGHUP: the old address still answers what it has; nothing new goes there."""
+        first: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        old, new = await self.begin_counting(lambda *came: first), await self.stand_in(http(b"8"))
+        self.call(api.Add(5, 1.0, 4000.0))
+        while not old.came:
+            await asyncio.sleep(0.001)
+        self.reload(counter=new.address)
+        self.call(api.Add(6, 1.0, 4000.0))
+        self.assertEqual(await self.until_heard(1), [(6, End.SETTLED, 8.0)])
+        first.set_result(http(b"7"))
+        self.assertEqual((await self.until_heard(2))[1], (5, End.SETTLED, 7.0))
+        await asyncio.wait_for(old.left.wait(), 10)
+        self.assertEqual((len(old.came), len(new.came)), (1, 1))
+
     async def test_a_refused_connection_adds_nothing(self) -> None:
         counter = await self.begin_counting(http(b"1"))
         counter.server.close()
