Answers and requests are bounded and checked; extra bytes end their connection

A probe that printed each spoilt answer showed noise, heads that never end, two lengths, chunk sizes that are none, 3 GB that keep on coming, and, behind good answers, noise or a second copy. Ruled out: bodies of 60 MB (aiohttp's 64 KiB bound held), the open requests of bad clients (no 4xx came from a worker). At fault: line.ask read any length to its end; aiohttp's connection lost a good answer with noise right behind it and kept a second copy as the next answer; Lane went on after a total without a number; float() took nan and inf from answers and requests; door knew no range; the front kept silent connections, lingered 10 s on each body and wrote a traceback for each bad client.

Now line.Wire, in place of aiohttp's ResponseHandler (its connector and parser stay), gives the parser heads only, bounds head and body, ends with the first byte that nobody is owed, looks for unread bytes before a kept connection is used, and gives the rest of a begun answer the connect time. Kept connections belong to a worker and its start, not to an address, and go with it. The door checks every field's range and the product's method; the front turns away the id of an open txn, closes what is not whole within 2 s, and where clients crowd it the oldest silent one, then the longest idle. Clients have three fifths of the free descriptors, workers two.

--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -11,7 +11,9 @@
 
 RESERVED = 24           # descriptors for standard streams, the loop, the listener, the list and log files
 COUNTER_LINES = 32      # what the counter holds of one gatekeeper (the protocol's figure)
-MOST_BODY = 64 * 1024   # the protocol's figure
+MOST_BODY = 64 * 1024   # the protocol's figure; a head is held to a quarter of it
+MOST_HEAD = MOST_BODY // 4
+CLIENT_MS = 2000.0      # a connection with no request open may be closed after this (the protocol's figure)
 
 
 class BadCharter(ValueError):
@@ -28,7 +30,8 @@
     known: dict[str, Any]
     terms: api.Terms
     names: Names
-    lines: int              # connections at most, on the clients' side and again on the workers'
+    clients: int            # connections at most, of clients
+    lines: int              # and to workers
     idle_ms: float          # a connection to a worker is kept this long at most
     connect_ms: float
 
@@ -72,7 +75,8 @@
     allowed = settings["ceilings"]
     sockets = int((told.get("limits") or {}).get("sockets") or 1024)
     counter = address(told["counter"], "counter") if terms.counter else None
-    lines = (sockets - RESERVED - (COUNTER_LINES if counter else 0)) // 2
+    free = sockets - RESERVED - (COUNTER_LINES if counter else 0)
+    lines = free * 2 // 5   # clients may hold a third of all, and as many again come and say nothing
     if lines < 1:
         raise BadCharter(f"limits.sockets is {sockets}, too few")
     known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
@@ -80,6 +84,7 @@
         name=str(env.get("GW_NAME") or told["name"]),
         listen=address(env.get("GW_LISTEN") or told["listen"], "listen"),
         discovery=address(env.get("GW_DISCOVERY") or told["discovery"], "discovery"),
-        counter=counter, seed=int(str(told["seed"]), 16), known=known, terms=terms, names=names, lines=lines,
+        counter=counter, seed=int(str(told["seed"]), 16), known=known, terms=terms, names=names,
+        clients=free - lines, lines=lines,
         idle_ms=float(allowed.get("connIdleMs") or 0) / 2,      # never near the worker's own limit
         connect_ms=float(allowed.get("connectTimeoutMs") or 1000.0))
--- a/drumgw/gate/counter.py
+++ b/drumgw/gate/counter.py
@@ -4,14 +4,12 @@
 from collections import deque
 from functools import partial
 
-from aiohttp import ServerDisconnectedError
-from aiohttp.http_parser import RawResponseMessage
-
 from drumgw import interface as api
 from drumgw.gate.charter import COUNTER_LINES, Charter
 from drumgw.gate.clock import Timer
 from drumgw.gate.desk import Desk
-from drumgw.gate.line import BROKEN, Lines, Trip
+from drumgw.gate.door import read_number
+from drumgw.gate.line import BROKEN, Answer, Lines, Trip, Wire
 from drumgw.interface import End
 
 IDLE_MS = 5000.0        # the counter closes what stood idle for about 10 s or less (the protocol's figure)
@@ -36,58 +34,46 @@
     def __init__(self, counter: Counter) -> None:
         self.counter, self.trip, self.open, self.used_at = counter, Trip(), True, counter.pulse.now()
         self.mailbox: deque[Call] = deque()     # emptied by answers, or at once when the lane closes
+        self.wire: Wire | None = None           # once it is up
         self.task = counter.loop.create_task(self.run())
 
     def put(self, call: Call) -> None:
         self.mailbox.append(call)
-        if self.trip.connection is not None:
-            self.write(call)
+        if self.wire is not None:
+            self.write(self.wire, call)
 
-    def write(self, call: Call) -> None:
-        connection, order = self.trip.connection, call.order
-        if connection is None or connection.transport is None:
-            return
+    def write(self, wire: Wire, call: Call) -> None:
+        order = call.order
         target = f"/counters/{order.name}?by={order.amount:.12g}&expire_ms={order.lives_ms:.0f}"
-        connection.transport.write((f"POST {target} HTTP/1.1\r\nHost: {self.counter.address}\r\n"
-                                    "Content-Length: 0\r\n\r\n").encode())
+        wire.ask((f"POST {target} HTTP/1.1\r\nHost: {self.counter.address}\r\n"
+                  "Content-Length: 0\r\n\r\n").encode())
         call.written = True
 
     async def run(self) -> None:
-        """Connects, writes what has gathered, then hands each answer to the oldest call."""
-        lines = self.counter.lines
+        """Connects and writes what has gathered; each answer goes to the oldest call."""
         try:
-            self.trip.connection = connection = await lines.connect(self.counter.card)
-            if (protocol := connection.protocol) is None:
-                raise ServerDisconnectedError
-            protocol.set_response_params(auto_decompress=False)
+            self.trip.connection, self.wire = await self.counter.lines.connect(self.counter.card)
+            self.wire.heard, self.wire.lost = self.answered, lambda _: self.close()
             for call in self.mailbox:
-                self.write(call)
-            while self.open or self.mailbox:
-                message, payload = await protocol.read()
-                body = await payload.read()
-                if message.code >= 200:
-                    self.answered(message, body)
-                if message.should_close:
-                    break
+                self.write(self.wire, call)
         except BROKEN:
-            pass
+            self.close()
         except Exception as error:
             self.counter.desk.complain(error, "the counter's lane")
-        self.close()
+            self.close()
 
-    def answered(self, message: RawResponseMessage, body: bytes) -> None:
-        if not self.mailbox:
-            raise ServerDisconnectedError   # it answers what nobody asked
-        call, end, total = self.mailbox.popleft(), End.TIMEOUT, 0.0
+    def answered(self, answer: Answer) -> None:
+        """Guards the books: after an answer without a number the connection means nothing any more."""
+        message, body = answer
+        call, total = self.mailbox.popleft(), read_number(body)
         self.used_at = self.counter.pulse.now()
         if message.code in TURNED_AWAY:
-            end = End.FULL
-        elif message.code == 200:
-            try:
-                end, total = End.SETTLED, float(body)
-            except ValueError:
-                pass
-        self.counter.ended(call, end, total)
+            self.counter.ended(call, End.FULL, 0.0)
+        elif message.code == 200 and total is not None:
+            self.counter.ended(call, End.SETTLED, total)
+        else:
+            self.counter.ended(call, End.TIMEOUT, 0.0)
+            self.close()
         if not self.open:
             self.retire()
 
@@ -99,6 +85,8 @@
 
     def close(self) -> None:
         self.open = False
+        if self.wire is not None:
+            self.wire.heard = self.wire.lost = None
         self.counter.lanes.discard(self)
         rest, self.mailbox = self.mailbox, deque()
         self.trip.close()
@@ -112,7 +100,7 @@
         assert charter.counter is not None
         self.desk, self.loop, self.pulse = desk, desk.loop, desk.pulse
         self.wait_ms, self.most = charter.terms.counter_wait_ms, 4 * charter.lines
-        self.lines = Lines(COUNTER_LINES, IDLE_MS, None)
+        self.lines = Lines(COUNTER_LINES, IDLE_MS, None, desk.pulse)
         self.lanes: set[Lane] = set()       # 32 at most; emptied as they close
         self.names: dict[int, tuple[deque[Call], Lane | None]] = {}     # calls out; emptied by their ends
         self.waiting = 0
--- a/drumgw/gate/door.py
+++ b/drumgw/gate/door.py
@@ -1,14 +1,19 @@
 """Reads a client's request: only the fields that decisions need; the rest stays the bytes that came."""
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import isfinite
 
-from drumgw.interface import Txn
+from drumgw.interface import Repeat, Terms, Txn
 from drumgw.terms import Names
 
 UNITS_MS = {"m": 1.0, "u": 0.001}
+TIME = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)([mu])")  # float() takes nan, inf, 1_0, far too much
+COUNT = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+ACCOUNT, MOST_CUSTOMERS = re.compile(r"[0-9a-fA-F]{16}"), 2**33
+REQUEST_ID = re.compile(r"[!-~]{1,64}")
 METHODS = ("GET", "POST")
 
 
@@ -41,32 +46,57 @@
     return ("\r\n".join(lines) + "\r\n").encode("utf-8", "surrogateescape")
 
 
-def read_asked(names: Names, method: str, target: str, headers: Mapping[str, str]) -> Txn:
-    """The fields of a request; raises Unfit where one is missing or means nothing here."""
+def read_asked(names: Names, terms: Terms, method: str, target: str, headers: Mapping[str, str]) -> Txn:
+    """The fields of a request; raises Unfit where one is missing or means nothing here.
+
+    Guards the books and the workers: what is beyond the settings' ranges, or not a number, in whoever's name,
+    would be counted, and a worker that can't use it would be taken for a sick one.
+    """
     if method not in METHODS:
-        raise Unfit(405, f"method {method} is not known")
+        raise Unfit(405, "no such method")
     path, _, query = target.partition("?")
     product = names.products.get(path.split("/", 2)[1] if path.startswith("/") else "")
     if product is None:
-        raise Unfit(404, f"no such product: {path}")
-    if not headers.get("Request-Id"):
-        raise Unfit(400, "Request-Id is missing")
+        raise Unfit(404, "no such product")
+    if (method == "GET") != (terms.products[product].repeat is Repeat.INQUIRY):
+        raise Unfit(405, "not this product's method")
+    if not REQUEST_ID.fullmatch(headers.get("Request-Id", "")):
+        raise Unfit(400, "Request-Id is missing or unusable")
     plan = names.plans.get(headers.get("Plan", ""))
     if plan is None:
         raise Unfit(400, "Plan is missing or unknown")
     try:
         left, info = _left(headers["Request-Timeout"]), _pairs(headers["Quota-Info"])
-        units, gates, first = float(info["units"]), int(info["spread"]), int(info["first"])
+        units, gates, first = (_count(info[name]) for name in ("units", "spread", "first"))
         customer = _account(query)
     except (KeyError, ValueError) as bad:
         raise Unfit(400, f"missing or unusable: {bad}") from bad
-    if not (isfinite(left) and left > 0 and isfinite(units) and units >= 0 and gates >= 1 and first >= 0):
+    if not (left > 0 and 0 < units <= terms.top_units and 1 <= gates <= terms.gatekeepers
+            and first < terms.gatekeepers and gates % 1 == first % 1 == 0):
         raise Unfit(400, "Request-Timeout or Quota-Info is out of its range")
-    return Txn(0, left, plan, customer, product, units, headers.get("Client-Retry") == "1", gates, first)
+    again = headers.get("Client-Retry") == "1"
+    return Txn(0, left, plan, customer, product, units, again, int(gates), int(first))
+
+
+def read_number(text: str | bytes | None) -> float | None:
+    """A number that a peer sent; none where it is not one that can be counted with."""
+    try:
+        number = float(text or "")
+    except ValueError:
+        return None
+    return number if isfinite(number) else None
 
 
 def _left(text: str) -> float:
-    return float(text[:-1]) * UNITS_MS[text[-1:]]
+    if (found := TIME.fullmatch(text)) is None:
+        raise ValueError("Request-Timeout")
+    return float(found[1]) * UNITS_MS[found[2]]
+
+
+def _count(text: str) -> float:
+    if COUNT.fullmatch(text) is None:
+        raise ValueError("Quota-Info")
+    return float(text)
 
 
 def _pairs(text: str) -> dict[str, str]:
@@ -78,7 +108,7 @@
     for part in query.split("&"):
         if part.startswith("account="):
             text = part[8:]
-            if len(text) != 16 or not text.isalnum():
-                raise ValueError(f"account {text!r}")
+            if not ACCOUNT.fullmatch(text) or int(text, 16) >= MOST_CUSTOMERS:
+                raise ValueError("account")
             return int(text, 16)
     raise KeyError("account")
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -2,18 +2,30 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum
 from typing import Any
 
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
-from drumgw.gate.charter import MOST_BODY, BadCharter, Charter
+from drumgw.gate.charter import CLIENT_MS, MOST_BODY, BadCharter, Charter
 from drumgw.gate.desk import Desk
 from drumgw.gate.door import Passage, Unfit, read_asked, write_head
 
 READY, LIVE = "/health/ready", "/health/live"
+SWEEP_S = CLIENT_MS / 8000.0
+
+
+class Stage(Enum):
+    """Where a client's connection is."""
+
+    NEW = "no whole request yet"
+    PART = "a further request has begun"
+    OPEN = "a request is open"
+    IDLE = "between requests"
 
 
 class Whole(StreamResponse):
@@ -35,13 +47,70 @@
         """Nothing is left to write."""
 
 
+class Client(RequestHandler):
+    """A client's connection, with the time of its last change of stage."""
+
+    __slots__ = ("front", "stage", "since")
+
+    def __init__(self, front: Front, server: Server, **kwargs: Any) -> None:
+        super().__init__(server, **kwargs)
+        self.front, self.stage, self.since = front, Stage.NEW, front.desk.pulse.now()
+
+    def move(self, stage: Stage) -> None:
+        self.stage, self.since = stage, self.front.desk.pulse.now()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.front.came(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.front.clients.pop(self, None)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self.stage is Stage.IDLE:
+            self.move(Stage.PART)
+        super().data_received(data)
+
+    def end(self) -> None:
+        """Nothing is owed on it, and a client that does not read must not keep it."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def handle_error(self, request: BaseRequest, status: int = 500, exc: BaseException | None = None,
+                     message: str | None = None) -> Whole:
+        """What the parser can't read; no line in the log, there may be many."""
+        answer = Whole(status)
+        answer.force_close()
+        return answer
+
+    def log_exception(self, *args: Any, exc_info: Any = None, **kwargs: Any) -> None:
+        error = exc_info if isinstance(exc_info, Exception) else RuntimeError(*args)
+        self.front.desk.complain(error, "a client")
+
+
+class Clients(Server):
+    """aiohttp's server with connections of ours."""
+
+    front: Front
+
+    def __call__(self) -> Client:
+        return Client(self.front, self, loop=self._loop, **self._kwargs)
+
+
 class Front:
     def __init__(self, charter: Charter, desk: Desk) -> None:
         self.charter, self.desk = charter, desk
         self.ready = self.closing = False
-        self.server = Server(
+        self.server = Clients(
             self.handle, handler_cancellation=True, request_factory=self.factory, access_log=None,
-            auto_decompress=False)      # the body passes as the bytes that came
+            auto_decompress=False,      # the body passes as the bytes that came
+            lingering_time=0.0, tcp_keepalive=False)
+        self.server.front = self
+        self.clients: dict[Client, None] = {}   # oldest first; emptied as they close
+        self.ids: set[str] = set()              # of the txns open here; emptied by their ends
         self.socket: asyncio.Server | None = None
 
     def factory(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
@@ -55,18 +124,51 @@
         except OSError as error:
             raise BadCharter(f"cannot listen at {host}:{port}: {error}") from error
         self.ready = True
+        self.sweep()
         bound = self.socket.sockets[0].getsockname()
         return bound[0], bound[1]
 
+    # Connections
+
+    def came(self, client: Client) -> None:
+        """Guards usual clients against those that connect by the hundred and say nothing."""
+        self.clients[client] = None
+        if len(self.clients) > self.charter.clients:
+            self.least().end()
+
+    def least(self) -> Client:
+        """The one that is missed least: the oldest silent one, else one idle for long, else the newcomer."""
+        longest = self.desk.pulse.now() - CLIENT_MS
+        for stage, before in ((Stage.NEW, None), (Stage.IDLE, longest), (Stage.PART, longest)):
+            for client in self.clients:
+                if client.stage is stage and (before is None or client.since < before):
+                    return client
+        return next(reversed(self.clients))
+
+    def sweep(self) -> None:
+        """Closes what says nothing or never ends; what is only idle, where descriptors are short."""
+        self.desk.loop.call_later(SWEEP_S, self.sweep)
+        longest = self.desk.pulse.now() - CLIENT_MS
+        if self.desk.pulse.lately_ms:   # we stood: what they sent may lie unread
+            return
+        spare = self.charter.clients * 3 // 4 - sum(c.stage is not Stage.NEW for c in self.clients)
+        for client in [c for c in self.clients if c.stage is not Stage.OPEN and c.since < longest]:
+            if client.stage is not Stage.IDLE or spare < 0:
+                spare += 1
+                client.end()
+
+    # Requests
+
     async def handle(self, request: BaseRequest) -> Whole:
         """One request of a client. Cancelled when the client closes its connection: then it has gone away."""
         target: str = request._message.path     # the raw target; the public form is decoded and re-encoded
-        closes = len(self.server._connections) > self.charter.lines
+        client: Client = request.protocol       # type: ignore[assignment]
+        closes = False
         try:
             if target in (READY, LIVE):
                 answer = Whole(200 if self.ready or target == LIVE else 503)
             else:
-                answer = await self.serve(request, target)
+                answer = await self.serve(request, target, client)
         except Unfit as unfit:
             answer = Whole(unfit.status, f"{unfit}\n".encode())
             closes = True       # whatever else it sends is not read
@@ -75,24 +177,37 @@
             answer = Whole(500)     # a submission may be out
         if closes or self.closing:
             answer.force_close()
+        client.move(Stage.IDLE)
         return answer
 
-    async def serve(self, request: BaseRequest, target: str) -> Whole:
+    async def read(self, request: BaseRequest) -> bytes:
+        if not request.body_exists:
+            return b""
+        if request.method == "GET" or (request.content_length or 0) > MOST_BODY:
+            raise Unfit(413, "the body is too large")
+        try:
+            return await request.read()
+        except HTTPRequestEntityTooLarge as large:
+            raise Unfit(413, "the body is too large") from large
+        except (RequestPayloadError, ValueError) as bad:
+            raise Unfit(400, "the body can't be read") from bad
+
+    async def serve(self, request: BaseRequest, target: str, client: Client) -> Whole:
         headers = request.headers
-        asked = read_asked(self.charter.names, request.method, target, headers)
-        body = b""
-        if request.body_exists:
-            try:
-                body = await request.read()
-            except HTTPRequestEntityTooLarge as large:
-                raise Unfit(413, "the body is too large") from large
+        asked = read_asked(self.charter.names, self.charter.terms, request.method, target, headers)
+        body = await self.read(request)
+        if (name := headers["Request-Id"]) in self.ids:
+            raise Unfit(409, "a txn of this id is open")    # it would spoil that one
+        client.move(Stage.OPEN)
         passage = Passage(write_head(request.method, target, headers, body), body, asked)
-        waiting = self.desk.take(passage)
+        self.ids.add(name)
         try:
-            reply = await waiting
+            reply = await self.desk.take(passage)
         except asyncio.CancelledError:
             self.desk.left(passage.txn)
             raise
+        finally:
+            self.ids.discard(name)
         if reply.answer is not None:
             kind, body = reply.answer
             return Whole(200, body, f"Content-Type: {kind}\r\n" if kind else "")
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -44,8 +44,8 @@
         self.desk.post(self.desk.core.start, known)
         self.watching = asyncio.create_task(self.roster.watch())
         place = await self.front.open()
-        logger.info("{} serves at {}:{}: {} workers known, {} lines a side", self.charter.name, *place,
-                    len(known.entries), self.charter.lines)
+        logger.info("{} serves at {}:{}: {} workers known, at most {} clients and {} lines to workers",
+                    self.charter.name, *place, len(known.entries), self.charter.clients, self.charter.lines)
         return place
 
     async def close(self) -> None:
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -1,18 +1,177 @@
 """Connections kept and used by one exchange at a time: aiohttp's connector and parser, without its session.
 
 Its session costs twice this in CPU and tells neither whether a request was written nor when a cancelled one's
-connection is closed; the bytes go out as they are given, and nothing is ever sent twice.
+connection is closed; the bytes go out as they are given, and nothing is ever sent twice. Its own connection
+(ResponseHandler) reads answers of any size, loses a good one when noise comes right behind it, and keeps what
+nobody asked for as the next answer: Wire, in its place, gives the parser heads only and bounds the rest.
 """
 from __future__ import annotations
 
 import asyncio
+import select
+from collections.abc import Callable
+from functools import partial
 
 import aiohttp
-from aiohttp.http import HttpProcessingError
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError, HttpResponseParser
 from aiohttp.http_parser import RawResponseMessage
 from yarl import URL
 
-BROKEN = (aiohttp.ClientError, HttpProcessingError, aiohttp.EofStream, OSError, TimeoutError)
+from drumgw.gate.charter import MOST_BODY, MOST_HEAD
+from drumgw.gate.clock import Pulse, Timer
+
+BROKEN = (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError)
+HEAD = b"HTTP/1."
+NO_BODY = (204, 304)
+MOST_CHUNKS = 64 * MOST_BODY    # above what one read brings, so that aiohttp never pauses a connection
+Answer = tuple[RawResponseMessage, bytes]
+
+
+class Spoilt(aiohttp.ClientError):
+    """What came is no answer, or none that was asked for: the connection can't be used any more."""
+
+
+class Wire(ResponseHandler):
+    """A connection and the answers owed on it, in their order. It ends with the first that is not."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, lines: Lines) -> None:
+        super().__init__(loop)
+        self.lines, self.owed, self.got = lines, 0, b""     # got: bounded by a head and a body
+        self.message: RawResponseMessage | None = None      # its head was read, its body not yet
+        self.length: int | None = 0                         # of its body; none: till the end
+        self.chunks: HttpResponseParser | None = None
+        self.body: aiohttp.StreamReader | None = None       # of chunks
+        self.heard: Callable[[Answer], None] | None = None  # set by who uses it; so is lost
+        self.lost: Callable[[BaseException], None] | None = None
+        self.timer: Timer | None = None
+        self.heads = HttpResponseParser(self, loop, MOST_BODY, response_with_body=False,
+                                        auto_decompress=False)
+        self.poll = select.poll()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.lines.wires.add(self)
+
+    def is_connected(self) -> bool:
+        """Asked before a kept connection is used: what lies unread on it must not meet the next txn."""
+        return super().is_connected() and not self.should_close and not self.poll.poll(0)
+
+    def ask(self, request: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(request)
+        self.owed += 1
+
+    def data_received(self, data: bytes) -> None:
+        self.got = self.got + data if self.got else data
+        try:
+            while self.got:
+                if not self.owed:
+                    raise Spoilt("more came than was asked for")
+                if not self.advance():
+                    break
+        except (aiohttp.ClientError, HttpProcessingError) as error:
+            self.spoil(error)
+            return
+        if self.got or self.message is not None:
+            self.timer = self.timer or self.lines.limit(self.stalled)
+        elif self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def advance(self) -> bool:
+        """One step further in what was got; false where more must come first."""
+        if self.message is None:
+            end = self.got.find(b"\r\n\r\n") + 4
+            if end < 4:
+                if len(self.got) > MOST_HEAD or not HEAD.startswith(self.got[:len(HEAD)]):
+                    raise Spoilt("no head of an answer")
+                return False
+            head, self.got = self.got[:end], self.got[end:]
+            self.begin(head)
+        elif self.chunks is not None and self.body is not None:
+            if not self.read_chunks(self.chunks, self.body):
+                return False
+        elif self.length is None or len(self.got) < self.length:
+            if len(self.got) > MOST_BODY:
+                raise Spoilt("a body without end")
+            return False
+        else:
+            body, self.got = self.got[:self.length], self.got[self.length:]
+            self.done(body)
+        return True
+
+    def begin(self, head: bytes) -> None:
+        messages, upgraded, _ = self.heads.feed_data(head)
+        if len(messages) != 1 or upgraded:
+            raise Spoilt("no head of an answer")
+        message = messages[0][0]
+        if message.code == 101:
+            raise Spoilt("another protocol")
+        if message.code < 200:
+            return      # the answer is still to come
+        said = message.headers.get("Content-Length")
+        self.message, self.length = message, int(said) if said else None
+        if message.code in NO_BODY:
+            self.length = 0
+        elif message.chunked:
+            self.chunks = HttpResponseParser(self, self._loop, MOST_CHUNKS, auto_decompress=False)
+            self.body = self.chunks.feed_data(head)[0][0][1]
+        elif self.length is None and not message.should_close or (self.length or 0) > MOST_BODY:
+            raise Spoilt(f"a body of {said} bytes")
+        if message.should_close or self.length is None and self.chunks is None:
+            self.force_close()
+        if self.length == 0:
+            self.done(b"")
+
+    def read_chunks(self, chunks: HttpResponseParser, body: aiohttp.StreamReader) -> bool:
+        data, self.got = self.got, b""
+        try:
+            chunks.feed_data(data)
+        except HttpProcessingError:
+            if not body.is_eof():
+                raise
+            self.force_close()      # noise behind the last chunk
+        if body.total_bytes > MOST_BODY:
+            raise Spoilt("a body without end")
+        if not body.is_eof():
+            return False
+        self.done(body.read_nowait())
+        return True
+
+    def done(self, body: bytes) -> None:
+        message, self.message, self.chunks, self.body = self.message, None, None, None
+        self.owed -= 1
+        assert message is not None
+        if self.heard is not None:
+            self.heard((message, body))
+
+    def stalled(self) -> None:
+        """Guards txns against an answer that began and never ends: what is left of it is a packet's time."""
+        self.spoil(Spoilt("an answer that stopped within"))
+
+    def spoil(self, error: BaseException) -> None:
+        self.force_close()
+        self.got, self.message = b"", None
+        self.abort()
+        self.lose(error)
+
+    def lose(self, error: BaseException) -> None:
+        lost, self.lost, self.heard = self.lost, None, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if lost is not None:
+            lost(error)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.lines.wires.discard(self)
+        if exc is None and self.message is not None and self.length is None and self.chunks is None:
+            body, self.got = self.got, b""
+            self.done(body)
+        super().connection_lost(exc)
+        self.lose(exc if isinstance(exc, OSError) else aiohttp.ServerDisconnectedError())
 
 
 class Trip:
@@ -38,41 +197,66 @@
 class Lines:
     """The connections to one kind of peer: so many at most, none kept idle for longer than told."""
 
-    def __init__(self, most: int, idle_ms: float, connect_ms: float | None) -> None:
+    def __init__(self, most: int, idle_ms: float, connect_ms: float | None, pulse: Pulse) -> None:
         seconds = connect_ms / 1000.0 if connect_ms else None
-        self.loop = asyncio.get_running_loop()
+        self.loop, self.pulse, self.most, self.packet_ms = pulse.loop, pulse, most, connect_ms
         self.patience = aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
         self.connector = aiohttp.TCPConnector(
             limit=most, keepalive_timeout=idle_ms / 1000.0, force_close=not idle_ms, use_dns_cache=False)
+        self.connector._factory = partial(Wire, self.loop, self)    # type: ignore[assignment]
+        self.wires: set[Wire] = set()   # those open; emptied as they close
 
-    def card(self, address: str) -> aiohttp.ClientRequest:
-        """What the connector knows a peer by."""
-        return aiohttp.ClientRequest("GET", URL(f"http://{address}"), loop=self.loop)
+    def card(self, address: str, owner: str | None = None) -> aiohttp.ClientRequest:
+        """What the connector knows a peer by: kept connections are its own, wherever it stands."""
+        return aiohttp.ClientRequest("GET", URL(f"http://{address}"), loop=self.loop, server_hostname=owner)
 
-    async def connect(self, card: aiohttp.ClientRequest) -> aiohttp.connector.Connection:
-        return await self.connector.connect(card, [], self.patience)
+    def limit(self, late: Callable[[], None]) -> Timer | None:
+        """The rest of an answer that began comes within the time in which a connection comes up."""
+        return self.pulse.at(self.pulse.now() + self.packet_ms, late) if self.packet_ms else None
 
-    async def ask(self, card: aiohttp.ClientRequest, request: bytes, trip: Trip
-                  ) -> tuple[RawResponseMessage, bytes]:
+    async def connect(self, card: aiohttp.ClientRequest) -> tuple[aiohttp.connector.Connection, Wire]:
+        if len(self.wires) >= self.most and card.connection_key not in self.connector._conns:
+            self.drop(next(iter(self.connector._conns), None))
+        connection = await self.connector.connect(card, [], self.patience)
+        wire = connection.protocol
+        if not isinstance(wire, Wire) or wire.transport is None:
+            connection.close()
+            raise aiohttp.ServerDisconnectedError
+        return connection, wire
+
+    def drop(self, key: object) -> None:
+        """Closes the kept connections to a peer: it has gone, or descriptors are short."""
+        for wire, _ in self.connector._conns.pop(key, ()):   # type: ignore[call-overload]
+            wire.close()
+
+    async def ask(self, card: aiohttp.ClientRequest, request: bytes, trip: Trip) -> Answer:
         """The whole answer. Where it raises or is cancelled, the connection is closed."""
-        trip.connection = connection = await self.connect(card)
-        protocol = connection.protocol
+        trip.connection, wire = await self.connect(card)
+        answer: asyncio.Future[Answer] = self.loop.create_future()
+        wire.heard, wire.lost = partial(settle, answer), partial(fail, answer)
         try:
-            if protocol is None or protocol.transport is None:
-                raise aiohttp.ServerDisconnectedError
-            protocol.set_response_params(auto_decompress=False, read_until_eof=True)
-            protocol.transport.write(request)
+            wire.ask(request)
             trip.written = True
-            message, payload = await protocol.read()
-            while message.code < 200:       # an interim answer
-                message, payload = await protocol.read()
-            body = await payload.read()
+            found = await answer
         except BaseException:
+            wire.heard = wire.lost = None
             trip.close()
             raise
-        trip.connection = None
-        connection.release()
-        return message, body
+        wire.heard = wire.lost = None
+        connection, trip.connection = trip.connection, None
+        if connection is not None:
+            connection.release()
+        return found
 
     async def close(self) -> None:
         await self.connector.close()
+
+
+def settle(future: asyncio.Future[Answer], answer: Answer) -> None:
+    if not future.done():
+        future.set_result(answer)
+
+
+def fail(future: asyncio.Future[Answer], error: BaseException) -> None:
+    if not future.done():
+        future.set_exception(error)
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -111,7 +111,7 @@
             entries.append(entry)
             named.add(name)
             if entry.health is Health.READY:
-                self.workers.place(entry.worker, row["hostPort"])
+                self.workers.place(entry.worker, row["hostPort"], entry.born_ms)
             self.change(name, entry.health)
         for name in set(self.states) - named if whole else ():
             self.change(name, Health.GONE)
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -9,7 +9,7 @@
 from drumgw.gate.charter import Charter
 from drumgw.gate.core import Send, Stop
 from drumgw.gate.desk import Desk
-from drumgw.gate.door import Passage
+from drumgw.gate.door import Passage, read_number
 from drumgw.gate.line import BROKEN, Lines, Trip
 from drumgw.interface import End
 from drumgw.terms import LOADS
@@ -37,7 +37,7 @@
 class Workers:
     def __init__(self, charter: Charter, desk: Desk) -> None:
         self.desk, self.loop, self.most = desk, desk.loop, charter.lines
-        self.lines = Lines(charter.lines, charter.idle_ms, charter.connect_ms)
+        self.lines = Lines(charter.lines, charter.idle_ms, charter.connect_ms, desk.pulse)
         self.reports = bool(charter.terms.load_names)
         self.actors: dict[int, Worker] = {}     # workers on the list; emptied by it
         self.where: dict[Key, Worker] = {}      # submissions out; emptied by ends and stops
@@ -47,9 +47,12 @@
 
     # From the list
 
-    def place(self, number: int, address: str) -> None:
-        card = self.lines.card(address)
+    def place(self, number: int, address: str, born: float | None) -> None:
+        """Guards a new worker, or a new start, at a gone one's address: its connections are its own."""
+        card = self.lines.card(address, f"{number}-{born or 0:.0f}")
         worker = self.actors.setdefault(number, Worker(card))
+        if worker.card.connection_key != card.connection_key:
+            self.lines.drop(worker.card.connection_key)
         worker.card, worker.open = card, True
 
     def drain(self, number: int, gone: bool) -> None:
@@ -58,6 +61,7 @@
         if worker is None:
             return
         worker.open = False
+        self.lines.drop(worker.card.connection_key)
         for (txn, n), (_, trip) in list(worker.mailbox.items()):
             if not trip.written:
                 self.stop(Stop(txn, n))
@@ -67,7 +71,7 @@
 
     def send(self, order: Send, passage: Passage) -> None:
         key, worker = (order.txn, order.submission), self.actors.get(order.worker)
-        if worker is None or not worker.open or len(worker.mailbox) >= self.most:
+        if worker is None or not worker.open or len(self.where) >= self.most:
             self.tell(order.txn, order.submission, Outcome(End.NOT_SENT))
             return
         trip = Trip()
@@ -115,10 +119,8 @@
 
 
 def read_units(text: str | None) -> float:
-    try:
-        return float(text or 0.0)
-    except ValueError:
-        return 0.0
+    """0, not told, where it can't be read: the answer is good all the same."""
+    return max(0.0, read_number(text) or 0.0)
 
 
 def read_load(text: str | None) -> dict[str, float]:
@@ -126,8 +128,6 @@
     load: dict[str, float] = {}
     for part in (text or "").removeprefix("TEXT").split(","):
         name, _, value = part.partition("=")
-        try:
-            load[LOADS.get(name.strip(), name.strip())] = float(value)
-        except ValueError:
-            continue
+        if (number := read_number(value)) is not None:
+            load[LOADS.get(name.strip(), name.strip())] = number
     return load
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -29,6 +29,7 @@
 ASK = {"Host": "svc", "Request-Id": "9b1f", "Plan": "p", "Request-Timeout": "900m",
        "Quota-Info": "units=1,spread=1,first=0"}
 TARGET = "/a/x%7e//y?account=00000000b4d65521&q=%20+%2F"
+POSTED = "/b?account=00000000b4d65521"
 
 
 def instance(name: str, address: str, state: str = "up", **more: Any) -> dict[str, Any]:
@@ -41,7 +42,8 @@
                 "retryAfter": True, "maxRetryAfterMs": 500.0}
     once = {**PRODUCT, "name": "b", "idempotency": "once", "gain": 3.0}
     plan = {**PLAN, "unitsPerS": 1000.0, "peakUnits": 1000.0}
-    return {**OPTIONS, "ceilings": ceilings, "classes": [PRODUCT, once], "tiersOfService": [plan], **more}
+    return {**OPTIONS, "ceilings": ceilings, "classes": [PRODUCT, once], "tiersOfService": [plan],
+            "familyInfo": {"counter": False, "unitsTop": 9}, **more}
 
 
 def charter(told: dict[str, Any]) -> Charter:
@@ -159,6 +161,45 @@
             self.assertEqual((status, len(worker.came)), (500, 1), answer)
             await self.end()
 
+    async def test_a_spoilt_answer_is_given_up_at_once_and_may_have_run(self) -> None:
+        """Guards memory and clients: nothing is read without bound, nor passed on, nor waited for."""
+        head, lines = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ok = head + b"Content-Length: "
+        spoilt = (b"\x00noise", b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok", ok + b"-2\r\n\r\nok",
+                  ok + b"3000000000\r\n\r\n" + b"x" * 9999, ok + b"2\r\nContent-Length: 3\r\n\r\nok!",
+                  ok + b"9\r\n\r\nok", head + b"X-Pad: p\r\n" * 9999, head, lines + b"zz\r\n",
+                  lines + b"5\r\nok", lines + b"fff\r\n%b\r\n" % (b"x" * 4095) * 17, head + b"\r\nno length",
+                  b"HTTP/1.1 101 OK\r\nUpgrade: x\r\n\r\n")
+        answers = list[bytes]()
+        worker = await self.stand_in(lambda head, body: answers.pop(0))
+        await self.begin(worker.address)
+        for answer in spoilt:
+            answers.append(answer)
+            with mock.patch("drumgw.control.SICK_FAILURES", 9.0):   # it gets the next one all the same
+                status, _, _ = await self.ask(POSTED, "POST", Request_Timeout="60000m")
+            self.assertEqual((status, answers), (500, []), answer[:60])
+            await asyncio.wait_for(worker.left.wait(), 10)      # its connection ended
+            worker.left.clear()
+
+    async def test_what_comes_behind_a_good_answer_ends_its_connection(self) -> None:
+        """Guards the next txn: it would be served with another's answer, or lose a good one to noise."""
+        behind = (b"\x00noise", http(b"other"), b"HTTP/1.1 200 OK\r\n")
+        chunks = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        good = (http(b"ok"), http(b"ok", Billed_Units="nan", Server_Load="TEXT \xff=,inflight=inf"), chunks,
+                b"HTTP/1.1 103 x\r\n\r\n" + http(b"ok"))
+        answers = list[bytes]()
+        worker = await self.stand_in(lambda head, body: answers.pop(0))
+        await self.begin(worker.address)
+        for first in good:
+            for more in behind:
+                answers += [first + more, http(b"mine")]
+                self.assertEqual((await self.ask())[:2], (200, b"ok"))
+                self.assertEqual((await self.ask())[:2], (200, b"mine"))
+        answers += [http(b"ok"), http(b"mine")]
+        self.assertEqual((await self.ask())[:2], (200, b"ok"))
+        worker.lines[-1].write(http(b"late"))       # on a kept connection, and not read yet
+        self.assertEqual((await self.ask())[:2], (200, b"mine"))
+
     async def test_a_client_that_leaves_is_noticed_at_its_worker(self) -> None:
         worker = await self.stand_in(None)
         await self.begin(worker.address)
@@ -184,11 +225,21 @@
             (400, {"target": "/a?account=12"}), (400, {"Plan": "q"}), (400, {"Plan": None}),
             (400, {"Request_Id": None}), (400, {"Request_Timeout": "5s"}), (400, {"Request_Timeout": "nanm"}),
             (400, {"Quota_Info": "units=1"}), (400, {"Quota_Info": "units=-1,spread=1,first=0"}),
-            (405, {"method": "PUT"}), (413, {"method": "POST", "body": b"x" * (64 * 1024 + 1)})]
+            (400, {"target": "/a?account=00000002b4d65521"}), (400, {"Request_Id": "a b"}),
+            *((400, {"Quota_Info": f"units={units},spread={gates},first={first}"}) for units, gates, first
+              in (("nan", 1, 0), (1, 2, 0), (1, 1, 1), (10, 1, 0), ("1_0", 1, 0), (1, 0.5, 0), (1, 1, "x"))),
+            (400, {"Request_Timeout": "-5m"}), (400, {"Request_Timeout": "1e3m"}),
+            (400, {"Request_Timeout": "infm"}),
+            (405, {"method": "POST"}), (405, {"method": "GET", "target": POSTED}),
+            (413, {"body": b"x"}), (400, {"Transfer_Encoding": "chunked", "body": b"x"}),
+            (400, {"Content_Length": "-1"}), (400, {"Host": None}),
+            (413, {"target": POSTED, "method": "POST", "Content_Length": "62914560"}),
+            (405, {"method": "PUT"}),
+            (413, {"target": POSTED, "method": "POST", "body": b"x" * (64 * 1024 + 1)})]
         for status, asked in cases:
             self.assertEqual((await self.ask(**asked))[0], status, asked)
         self.assertEqual(self.gateway.desk.core.taken, 0)
-        self.assertEqual((await self.ask(method="POST", body=b"x" * (64 * 1024)))[0], 503)  # no worker
+        self.assertEqual((await self.ask(POSTED, "POST", b"x" * (64 * 1024)))[0], 503)  # no worker
         self.assertEqual(self.gateway.desk.core.taken, 1)
 
     async def test_declined_with_a_time_to_come_back(self) -> None:
@@ -210,6 +261,61 @@
         self.assertEqual((status, (await self.ask())[:2]), (503, (200, b"ok")))
 
 
+class Crowds(GateCase):
+    """Bad clients: each gets an error or a close soon, and holds nothing that a usual one needs."""
+
+    async def short(self, client_ms: float = 40.0, **more: Any) -> None:
+        for name, value in (("CLIENT_MS", client_ms), ("SWEEP_S", 0.005)):
+            patch = mock.patch(f"drumgw.gate.front.{name}", value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.worker = await self.stand_in(http(b"ok"))
+        await self.begin(self.worker.address, **more)
+
+    async def test_what_never_comes_whole_is_closed(self) -> None:
+        await self.short()
+        whole, half = request(), request(POSTED, "POST", b"body")[:-2]
+        for sent in (b"", whole[:-2], half):
+            for used in (False, True) if sent else (False,):
+                line = await self.connect()
+                if used:
+                    self.assertEqual((await self.ask(line=line))[0], 200)
+                line[1].write(sent)
+                self.assertEqual(await asyncio.wait_for(line[0].read(), 10), b"")   # to its end
+        self.assertEqual((self.gateway.front.clients, self.gateway.front.ids), ({}, set()))
+
+    async def test_an_idle_client_is_closed_only_where_descriptors_are_short(self) -> None:
+        await self.short(limits={"sockets": 34})    # six clients
+        (reader, writer), *others = [await self.connect() for _ in range(5)]
+        for line in (*others, (reader, writer)):
+            self.assertEqual((await self.ask(line=line))[0], 200)
+        for other, _ in others[:1]:
+            self.assertEqual(await asyncio.wait_for(other.read(), 10), b"")     # the longest idle
+        await asyncio.sleep(0.1)
+        self.assertEqual((await self.ask(line=(reader, writer)))[0], 200)
+        self.assertEqual(len(self.gateway.front.clients), 4)
+
+    async def test_hundreds_that_say_nothing_keep_no_usual_client_out(self) -> None:
+        await self.short(60000.0, limits={"sockets": 34})
+        line = await self.connect()
+        self.assertEqual((await self.ask(line=line))[0], 200)
+        for _ in range(60):
+            await self.connect()
+        self.assertEqual(((await self.ask(line=line))[0], (await self.ask())[0]), (200, 200))
+        self.assertLessEqual(len(self.gateway.front.clients), 6)
+
+    async def test_the_id_of_an_open_txn_is_turned_away(self) -> None:
+        """Guards that txn: its worker would take the second for a copy."""
+        worker = await self.stand_in(None)
+        await self.begin(worker.address)
+        _, writer = await self.connect()
+        writer.write(request(Request_Timeout="60000m"))
+        while not worker.came:
+            await asyncio.sleep(0.001)
+        self.assertEqual((await self.ask())[0], 409)
+        self.assertEqual(len(worker.came), 1)
+
+
 class Ends(GateCase):
     async def test_sigterm_serves_on_then_finishes_what_is_in_hand(self) -> None:
         held: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
@@ -225,7 +331,7 @@
         await asyncio.sleep(0)
         self.assertEqual((await self.ask("/health/ready"))[0], 503)
         late, later = await self.connect()
-        later.write(request(Request_Timeout="60000m"))      # comes after SIGTERM, and is taken
+        later.write(request(Request_Timeout="60000m", Request_Id="9b20"))  # comes after SIGTERM, and is taken
         self.assertEqual(await ready.read(), b"")       # the idle connection is closed by and by
         held.set_result(http(b"ok"))
         for line in (reader, late):
@@ -440,6 +546,17 @@
         await asyncio.wait_for(old.left.wait(), 10)
         self.assertEqual((len(old.came), len(new.came)), (1, 1))
 
+    async def test_a_total_that_is_no_number_ends_its_lane(self) -> None:
+        """Guards the books: it was added; the calls behind it were written, and may have been."""
+        for spoilt in (http(b"what"), http(b"nan"), b"\x00noise", http(status=500)):
+            answers = [spoilt, http(b"2"), http(b"3")]
+            counter = await self.begin_counting(lambda head, body: answers.pop(0))      # noqa: B023
+            for name in (5, 5, 5):
+                self.call(api.Add(name, 1.0, 4000.0))
+            self.assertEqual(await self.until_heard(3), [(5, End.TIMEOUT, 0.0)] * 3)
+            await asyncio.wait_for(counter.left.wait(), 10)
+            await self.end()
+
     async def test_a_refused_connection_adds_nothing(self) -> None:
         counter = await self.begin_counting(http(b"1"))
         counter.server.close()
