--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -37,7 +37,7 @@
 LATE_STEP, LATE_MOST, LATE_FADE_MS = 0.1, 0.3, 18000.0   # share of late answers: followed, borne, forgotten
 DOUBT_PART, RESEND_PART, RESEND_SAVED, COLD_PART, SHARED = 0.5, 0.15, 20.0, 0.4, 4   # gateways to a cap
 PACE_MS, CALM_STEP, PRESSED_AT, QUIET_AT, FILL_STEP = 1000.0, 0.02, 0.7, 0.4, 0.3   # parts of the room
-WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 2.0, 0.75   # by worker; by gateway
+WAIT_SLA, ROOM_LEAST, ROOM_CALM, ROOM_MORE, LOWER_ROOM = 0.2, 3.5, 8.0, 0.7, 0.75   # by worker; by gateway
 ROOM_FIRST, ROOM_GROW, TICK_MS, SHED_MORE, SHED_LESS, NO_ROOM_WAIT = 2.5, 0.1, 100.0, 0.05, 0.015, (0.3, 1.0)
 
 FIT, RESTING, TRIAL, NEW, OUT, DONE, ANY = "fit", "resting", "trial", "new", "out", "done", "any"
@@ -459,9 +459,8 @@
         w.slow = min(SLOW_MOST, max(SLOW_LEAST, w.slow))
 
     def fail(self, w: Worker, lane: SimpleNamespace, part: float = 1.0) -> None:
-        """Guards against answers broken off or spoilt from all alike: resting workers helps none."""
         lane.failures += part * FAILURE_STEP * (1 - lane.failures)
-        if lane.failures > SICK_FAILURES + self.broken or lane.state is TRIAL:
+        if lane.failures > SICK_FAILURES + self.broken or lane.state is TRIAL:  # all break: no use
             self.acts.append(api.Say(f"worker {w.wid} rests: failures {lane.failures:.2f}, out {len(w.out)}"))
             self.step(LANE_TABLE, lane, "sick")
 
@@ -497,7 +496,8 @@
 
     def make_room(self) -> None:
         """Guards against a spiral of late answers: out is what settles in a calm answer's time and a wait."""
-        least, calm = ROOM_LEAST * self.fleet, ROOM_MORE - (ROOM_MORE - 1) * self.late / LATE_MOST
+        more = min(1.0, ROOM_MORE * self.wait_ms / self.calm_ms)    # slow work leaves less time to wait in
+        least, calm = ROOM_LEAST * self.fleet, 1 + more * (1 - self.late / LATE_MOST)
         self.grown = 1.0 if self.late > LATE_MOST else self.grown
         least = max(self.grown, least if self.late > LATE_MOST else calm * least)
         self.room = max(least, self.pace * (self.calm_ms + self.wait_ms))
