--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from enum import Enum
+from itertools import islice
 from typing import Any
 
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
@@ -12,6 +13,7 @@
 from aiohttp.web_server import Server
 
 from drumgw.gate.charter import CLIENT_MS, MOST_BODY, BadCharter, Charter
+from drumgw.gate.clock import LATE_MS
 from drumgw.gate.desk import Desk
 from drumgw.gate.door import Passage, Unfit, read_asked, write_head
 
@@ -57,14 +59,16 @@
         self.front, self.stage, self.since = front, Stage.NEW, front.desk.pulse.now()
 
     def move(self, stage: Stage) -> None:
-        self.stage, self.since = stage, self.front.desk.pulse.now()
+        if self.front.stages[self.stage].pop(self, self) is None:   # not closed meanwhile
+            self.front.stages[stage][self] = None
+            self.stage, self.since = stage, self.front.desk.pulse.now()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.front.came(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self.front.clients.pop(self, None)
+        self.front.stages[self.stage].pop(self, None)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -74,6 +78,7 @@
 
     def end(self) -> None:
         """Nothing is owed on it, and a client that does not read must not keep it."""
+        self.front.stages[self.stage].pop(self, None)
         transport = self.transport
         self.force_close()
         if transport is not None:
@@ -109,7 +114,8 @@
             auto_decompress=False,      # the body passes as the bytes that came
             lingering_time=0.0, tcp_keepalive=False)
         self.server.front = self
-        self.clients: dict[Client, None] = {}   # oldest first; emptied as they close
+        # Connections by stage, who is in it for longest first; emptied as they close
+        self.stages: dict[Stage, dict[Client, None]] = {stage: {} for stage in Stage}
         self.ids: set[str] = set()              # of the txns open here; emptied by their ends
         self.socket: asyncio.Server | None = None
 
@@ -132,18 +138,23 @@
 
     def came(self, client: Client) -> None:
         """Guards usual clients against those that connect by the hundred and say nothing."""
-        self.clients[client] = None
-        if len(self.clients) > self.charter.clients:
-            self.least().end()
+        if self.crowd() >= self.charter.clients:
+            self.least(client).end()
+        self.stages[Stage.NEW][client] = None
 
-    def least(self) -> Client:
-        """The one that is missed least: the oldest silent one, else one idle for long, else the newcomer."""
-        longest = self.desk.pulse.now() - CLIENT_MS
-        for stage, before in ((Stage.NEW, None), (Stage.IDLE, longest), (Stage.PART, longest)):
-            for client in self.clients:
-                if client.stage is stage and (before is None or client.since < before):
-                    return client
-        return next(reversed(self.clients))
+    def crowd(self) -> int:
+        return sum(map(len, self.stages.values()))
+
+    def least(self, newcomer: Client) -> Client:
+        """Who is missed least: one silent since its turn to be read, else the first of the larger crowd.
+
+        Guards newcomers where many ask once and stay, and those idle where hundreds come and say nothing.
+        """
+        new, idle, part = (self.stages[stage] for stage in (Stage.NEW, Stage.IDLE, Stage.PART))
+        silent = next(iter(new), None)
+        if silent is not None and (newcomer.since - silent.since > LATE_MS or len(new) > len(idle)):
+            return silent
+        return next((client for stage in (idle, part) for client in stage), newcomer)
 
     def sweep(self) -> None:
         """Closes what says nothing or never ends; what is only idle, where descriptors are short."""
@@ -151,10 +162,11 @@
         longest = self.desk.pulse.now() - CLIENT_MS
         if self.desk.pulse.lately_ms:   # we stood: what they sent may lie unread
             return
-        spare = self.charter.clients * 3 // 4 - sum(c.stage is not Stage.NEW for c in self.clients)
-        for client in [c for c in self.clients if c.stage is not Stage.OPEN and c.since < longest]:
-            if client.stage is not Stage.IDLE or spare < 0:
-                spare += 1
+        many = self.crowd() - len(self.stages[Stage.NEW]) - self.charter.clients * 3 // 4
+        for stage, most in ((Stage.NEW, None), (Stage.PART, None), (Stage.IDLE, max(0, many))):
+            for client in list(islice(self.stages[stage], most)):
+                if client.since >= longest:
+                    break
                 client.end()
 
     # Requests
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -298,7 +298,7 @@
                     self.assertEqual((await self.ask(line=line))[0], 200)
                 line[1].write(sent)
                 self.assertEqual(await asyncio.wait_for(line[0].read(), 10), b"")   # to its end
-        self.assertEqual((self.gateway.front.clients, self.gateway.front.ids), ({}, set()))
+        self.assertEqual((self.gateway.front.crowd(), self.gateway.front.ids), (0, set()))
 
     async def test_an_idle_client_is_closed_only_where_descriptors_are_short(self) -> None:
         await self.short(60000.0, limits={"sockets": 34})   # six clients; short above four
@@ -318,7 +318,13 @@
         for _ in range(60):
             await self.connect()
         self.assertEqual(((await self.ask(line=line))[0], (await self.ask())[0]), (200, 200))
-        self.assertLessEqual(len(self.gateway.front.clients), 6)
+        self.assertLessEqual(self.gateway.front.crowd(), 6)
+
+    async def test_those_that_asked_once_and_stay_keep_no_newcomer_out(self) -> None:
+        await self.short(60000.0, limits={"sockets": 34})
+        for _ in range(20):
+            self.assertEqual((await self.ask())[0], 200)
+        self.assertEqual(self.gateway.front.crowd(), 6)
 
     async def test_the_id_of_an_open_txn_is_turned_away(self) -> None:
         """Guards that txn: its worker would take the second for a copy."""
