--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -395,7 +395,8 @@
                     stderr=asyncio.subprocess.PIPE)
                 _, line = await run.communicate()
             self.assertEqual((run.returncode, line.count(b"\n"), line[:8]), (2, 1, b"drumgw: "), line)
-        for bad in ({"listen": "x"}, {"settings": {}}, {"settings": settings(contract=ENDLESS)}, {"limits": {"sockets": 20}}, {"seed": "?"}):
+        for bad in ({"listen": "x"}, {"settings": {}}, {"settings": settings(contract=ENDLESS)},
+                    {"limits": {"sockets": 20}}, {"seed": "?"}):
             with self.assertRaises(BadCharter):
                 charter({**told("127.0.0.1:1", []), **bad})
 
