A connection that is not kept does not turn the order of those that are

Seen on rereading: line.ask put the last kept connection first after every answer, also after one whose own connection was closed, so that the oldest came next. The test fails without the change. A GET with a body is told so (400).

--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -208,7 +208,9 @@
     async def read(self, request: BaseRequest) -> bytes:
         if not request.body_exists:
             return b""
-        if request.method == "GET" or (request.content_length or 0) > MOST_BODY:
+        if request.method == "GET":
+            raise Unfit(400, "a GET has no body")
+        if (request.content_length or 0) > MOST_BODY:
             raise Unfit(413, "the body is too large")
         try:
             return await request.read()
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -246,7 +246,8 @@
         connection, trip.connection = trip.connection, None
         if connection is not None:
             connection.release()
-            if (kept := self.connector._conns.get(card.connection_key)) is not None:
+            kept = self.connector._conns.get(card.connection_key)
+            if kept and kept[-1][0] is wire:
                 kept.rotate(1)      # the last used is used next: the longer one lies, the likelier it is dead
         return found
 
