A lane that the counter says it closes takes no more calls, as before Wire

Seen on rereading the whole change: counter.Lane used to end with an answer that says Connection: close; since answers are handed over by line.Wire it stayed in use until the close came, and calls written meanwhile were unsure. The test fails without the mend.

--- a/drumgw/gate/counter.py
+++ b/drumgw/gate/counter.py
@@ -74,7 +74,9 @@
         else:
             self.counter.ended(call, End.TIMEOUT, 0.0)
             self.close()
-        if not self.open:
+        if message.should_close:    # what is written behind it would be unsure for nothing
+            self.close()
+        elif not self.open:
             self.retire()
 
     def retire(self) -> None:
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -59,8 +59,10 @@
         self.front, self.stage, self.since = front, Stage.NEW, front.desk.pulse.now()
 
     def move(self, stage: Stage) -> None:
-        if self.front.stages[self.stage].pop(self, self) is None:   # not closed meanwhile
-            self.front.stages[stage][self] = None
+        stages = self.front.stages
+        if self in stages[self.stage]:      # not closed meanwhile
+            del stages[self.stage][self]
+            stages[stage][self] = None
             self.stage, self.since = stage, self.front.desk.pulse.now()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -145,6 +147,9 @@
     def crowd(self) -> int:
         return sum(map(len, self.stages.values()))
 
+    def asked(self) -> int:
+        return self.crowd() - len(self.stages[Stage.NEW])
+
     def least(self, newcomer: Client) -> Client:
         """Who is missed least: one silent since its turn to be read, else the first of the larger crowd.
 
@@ -164,8 +169,7 @@
 
     def thin(self) -> None:
         """Guards usual clients against those that ask once and stay: all share what clients may hold."""
-        idle = self.longest_idle()
-        if idle is not None and self.crowd() - len(self.stages[Stage.NEW]) > self.charter.asking:
+        if self.asked() > self.charter.asking and (idle := self.longest_idle()) is not None:
             idle.end()
 
     def sweep(self) -> None:
@@ -174,7 +178,7 @@
         longest = self.desk.pulse.now() - CLIENT_MS
         if self.desk.pulse.lately_ms:   # we stood: what they sent may lie unread
             return
-        many = self.crowd() - len(self.stages[Stage.NEW]) - self.charter.asking // 2
+        many = self.asked() - self.charter.asking // 2
         for stage, most in ((Stage.NEW, None), (Stage.PART, None), (Stage.IDLE, max(0, many))):
             for client in list(islice(self.stages[stage], most)):
                 if client.since >= longest:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -81,6 +81,16 @@
         self.addAsyncCleanup(self.end)
         return self.gateway
 
+    async def begin_held(self) -> tuple[StandIn, asyncio.StreamWriter]:
+        """A gateway with a txn open: its worker, which says nothing, and its client's connection."""
+        worker = await self.stand_in(None)
+        await self.begin(worker.address)
+        _, writer = await self.connect()
+        writer.write(request(Request_Timeout="60000m"))
+        while not worker.came:
+            await asyncio.sleep(0.001)
+        return worker, writer
+
     def reload(self, **more: Any) -> None:
         self.gateway.reload(lambda: charter({**self.told, **more}))
 
@@ -218,12 +228,7 @@
         self.assertEqual([worker.lines.index(line) for line in worker.came_on], [0, 1, 2, 0, 0])
 
     async def test_a_client_that_leaves_is_noticed_at_its_worker(self) -> None:
-        worker = await self.stand_in(None)
-        await self.begin(worker.address)
-        _, writer = await self.connect()
-        writer.write(request(Request_Timeout="60000m"))
-        while not worker.came:
-            await asyncio.sleep(0.001)
+        worker, writer = await self.begin_held()
         writer.close()
         await asyncio.wait_for(worker.left.wait(), 10)
         self.assertEqual((self.gateway.desk.core.hand, self.gateway.desk.waiting), ({}, {}))
@@ -330,12 +335,7 @@
 
     async def test_the_id_of_an_open_txn_is_turned_away(self) -> None:
         """Guards that txn: its worker would take the second for a copy."""
-        worker = await self.stand_in(None)
-        await self.begin(worker.address)
-        _, writer = await self.connect()
-        writer.write(request(Request_Timeout="60000m"))
-        while not worker.came:
-            await asyncio.sleep(0.001)
+        worker, _ = await self.begin_held()
         self.assertEqual((await self.ask())[0], 409)
         self.assertEqual(len(worker.came), 1)
 
@@ -584,6 +584,14 @@
             await asyncio.wait_for(counter.left.wait(), 10)
             await self.end()
 
+    async def test_a_lane_that_the_counter_closes_takes_no_more_calls(self) -> None:
+        """Guards the books: calls written on it would be unsure. The stand-in itself keeps it open."""
+        counter = await self.begin_counting(http(b"1", Connection="close"))
+        for heard in (1, 2):
+            self.call(api.Add(5, 1.0, 4000.0))
+            self.assertEqual((await self.until_heard(heard))[-1], (5, End.SETTLED, 1.0))
+        self.assertEqual(len(counter.lines), 2)
+
     async def test_a_refused_connection_adds_nothing(self) -> None:
         counter = await self.begin_counting(http(b"1"))
         counter.server.close()
