A customer's new books hold the ceiling that has filled since the gateway started

Counted by a probe in on_txn and decide, over 198 gatekeepers: of 20,100 flagship tries 9,900 were declined before any call to the counter, 2% of them as never heard of. Ruled out: workers (no error, no full), the room (1 to 3% of those), a blind counter (no such line). Fault: Account.__init__, ceiling 0.0 whenever books are made. The rule only needs that what an earlier process here may have spent is not given again: filled since our start, 20 s at most as that is when idle books go. Sum over gateways stays within burst + rate x time. Test: ceiling-late (declines all three without the change).

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -88,7 +88,9 @@
         self.use, self.spent, self.last = ([0.0] * classes for _ in range(3))   # all gateways'; by window
         self.mine, self.lease = ([0.0] * classes for _ in range(2))     # pace of spending; unspent blocks
         self.count, self.counted, self.told, self.added = 0.0, -1, LONG_AGO, 0.0   # last total; added since
-        self.rate, self.out, self.ceiling = 0.0, 0, 0.0     # others' pace; out here; fresh: nothing
+        self.rate, self.out = 0.0, 0        # others' pace; out here
+        # What filled since we began, or the books were dropped: whoever was here before may have spent all
+        self.ceiling = plan.ceiling_rate * min(IDLE_MS, now - keeper.began) / self.gates
         self.shared = 0 < plan.open_cap * SHARED < self.gates   # no gateway keeps such a cap alone
         self.depth = min(plan.quota, plan.open_cap * top) if self.shared else plan.quota   # so bursts are low
         self.most = self.allowance = max(top, plan.quota / self.gates)   # without a total; a txn at least
@@ -125,12 +127,13 @@
         self.missed = self.outs = self.stuck = 0        # counter calls; submissions out; of them overdue
         self.settled = self.pace = self.late = self.shed = self.fill = self.broken = 0.0   # lately; they fade
         self.resends, self.room, self.grown, self.near = RESEND_SAVED, ROOM_CALM, ROOM_FIRST, NEAR_LEAST
-        self.woke = self.full_at = self.call_at = LONG_AGO
+        self.began, self.woke, self.full_at, self.call_at = 0.0, LONG_AGO, LONG_AGO, LONG_AGO
         self.asking, self.fleet = min(1.0, ASK_FIRST / terms.gatekeepers), 1.0     # odds of a call
         self.hold, self.cold_multiple = max(HOLD_MS, 2 * self.counter_wait), COLD_PART * terms.fall_multiple
         self.wait_ms = self.calm_ms = WAIT_SLA * min(p.sla_ms for p in terms.products)   # calm: mean answer
 
-    def start(self, _now: float) -> list[api.Action]:
+    def start(self, now: float) -> list[api.Action]:
+        self.began = now
         return [api.Wake(TICK_MS, 0)]
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,8 @@
 """Each test plays one story and compares the decisions with the trace kept for reading."""
 from __future__ import annotations
 
+from dataclasses import replace
+
 from drumgw.interface import End, Health, Left, Listed
 from tests.stage import BY_ZONE, CEILED, INQUIRY, OPEN, SOFT, Stage, TraceCase
 
@@ -167,6 +169,20 @@
         s.txn(0, 4.0)
         self.same(s, "ceiling")
 
+    def test_a_customer_seen_late_has_its_whole_part_of_the_ceiling(self) -> None:
+        """Guards customers of many gateways: their books are new, or dropped as idle, at nearly each txn."""
+        s = Stage(plans=(replace(CEILED, rate=100.0, burst=200.0),), counter=False)
+        s.tick(1500)
+        s.note("1.6 s after our start: 16 of the 20 units that the ceiling may hold here have filled")
+        for units in (6.0, 6.0, 6.0):
+            settle(s, s.txn(1, units, customer=2))
+        s.tick(30000)
+        s.note("books dropped as idle: the part is full again, and holds no more than that")
+        self.assertNotIn(2, s.keeper.accounts)
+        for units in (6.0, 6.0, 6.0, 6.0):
+            settle(s, s.txn(1, units, customer=2))
+        self.same(s, "ceiling-late")
+
 
 class Trouble(TraceCase):
     def test_silent_worker_rests_and_its_txns_go_elsewhere(self) -> None:
