SIGHUP before the loop listens is heeded later; at the end it is ignored

Seen in the code: python -m drumgw imports for half a second and ends its loop with the signal's default in place, which ends the process, and the protocol calls that a crash. Test: a SIGHUP held at the reading of the configuration; without the change the process dies of it.

--- a/drumgw/__main__.py
+++ b/drumgw/__main__.py
@@ -2,21 +2,26 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from functools import partial
 
-import uvloop
-from loguru import logger
+early: list[int] = []   # SIGHUPs that came before the loop listens for them
+if __name__ == "__main__":      # before the imports, which take half a second: its default ends the process
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
 
-from drumgw.gate.charter import BadCharter, read_charter
-from drumgw.gate.gateway import serve
+import uvloop  # noqa: E402
+from loguru import logger  # noqa: E402
+
+from drumgw.gate.charter import BadCharter, read_charter  # noqa: E402
+from drumgw.gate.gateway import serve  # noqa: E402
 
 
 def main() -> int:
     logger.remove()
     logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level: <7} {message}")
     try:
-        uvloop.run(serve(read_charter(os.environ), partial(read_charter, os.environ, again=True)))
+        uvloop.run(serve(read_charter(os.environ), partial(read_charter, os.environ, again=True), early))
     except BadCharter as bad:
         print(f"drumgw: {bad}", file=sys.stderr)
         return 2
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -4,7 +4,7 @@
 import asyncio
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 from loguru import logger
@@ -82,7 +82,8 @@
                 await part.close()
 
 
-async def serve(charter: Charter, again: Callable[[], Charter]) -> None:
+async def serve(charter: Charter, again: Callable[[], Charter], early: Sequence[int] = ()) -> None:
+    """Guards SIGHUP at both ends: early ones are heeded once it serves, late ones do not end the process."""
     gateway, loop = Gateway(charter), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, gateway.term.set)
     loop.add_signal_handler(signal.SIGHUP, partial(gateway.reload, again))
@@ -91,8 +92,12 @@
     except BadCharter:
         await gateway.shut()
         raise
+    if early:
+        gateway.reload(again)
     gc.collect()
     gc.freeze()     # what lives as long as the process is not walked again
     gc.set_threshold(GARBAGE)   # a txn leaves few cycles behind; memory has room for more of them
     await gateway.term.wait()
     await gateway.close()
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # the loop's end would bring the default back
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -364,6 +364,33 @@
         await closing
         self.gateway.close = mock.AsyncMock()   # type: ignore[method-assign]
 
+    async def test_a_sighup_before_it_serves_is_heeded_and_one_at_the_end_ends_nothing(self) -> None:
+        """Guards restarts beside new configurations: the signal's default would end the process as by a crash."""
+        discovery = await self.stand_in(None)
+        text, loop = json.dumps(told(discovery.address, [])).encode(), asyncio.get_running_loop()
+        story = ("import runpy, signal\n"
+                 "try: runpy.run_module('drumgw', run_name='__main__')\n"
+                 "finally: print(signal.getsignal(signal.SIGHUP).name)")
+        with tempfile.TemporaryDirectory() as folder:
+            pipe = os.path.join(folder, "config")
+            os.mkfifo(pipe)     # holds the start until we have written
+
+            def write(number: int | None) -> None:
+                with open(pipe, "wb") as file:
+                    if number is not None:
+                        os.kill(number, signal.SIGHUP)
+                    file.write(text)
+            run = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-c", story, env={**os.environ, "GW_CONFIG": pipe},
+                stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+            assert run.stderr and run.stdout
+            await loop.run_in_executor(None, write, run.pid)
+            await loop.run_in_executor(None, write, None)       # read again, once it serves
+            while b"SIGHUP: discovery" not in (line := await run.stderr.readline()):
+                self.assertTrue(line, "it ended early")
+            run.terminate()
+            self.assertEqual((await run.stdout.read(), await run.wait()), (b"SIG_IGN\n", 0))
+
     async def test_run_ends_with_0_on_sigterm_and_2_on_a_bad_configuration(self) -> None:
         discovery = await self.stand_in(None)
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
