What was told beyond a quota is taken back from the count

A fuller ceiling lets a spike of a new customer pass faster, and what went beyond its quota stayed in the count, though beyond a quota nothing leaves the store: all its gatekeepers then declined as many units that the store held. Fault: on_total took the total of an add beyond the quota as it was. Change: who told units beyond takes them back with one more call. Test: takenback.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -325,7 +325,7 @@
             del self.calls[e.name]
         self.age(h.account)
         if e.end is End.SETTLED:
-            self.read(h, e.total)
+            self.take_back(h, amount, self.read(h, e.total))
         elif e.end is not End.TIMEOUT:
             h.account.lease[h.rank] -= math.floor(amount)   # was not told: it is owed
         if h.state is NEW and h.txn in self.held:
@@ -339,7 +339,15 @@
         word = "told" if not self.missed else "missed" if self.missed >= MISSES else None
         self.step(MODE_TABLE, self.counter, word)
 
-    def read(self, h: Held, total: float) -> None:
+    def take_back(self, h: Held, amount: float, level: float) -> None:
+        """Guards the others: what was sent beyond a quota took nothing from the store, so the count loses it."""
+        a, c = h.account, h.rank
+        beyond = min(math.floor(amount), math.floor(level - a.plan.quota))
+        if beyond >= 1 and self.add(h, -beyond):
+            a.lease[c] -= min(beyond, max(0.0, a.lease[c]))
+            a.added -= beyond
+
+    def read(self, h: Held, total: float) -> float:
         """The store's level is what was told less what has filled; decimals count the top class's steps."""
         a, filled = h.account, h.account.plan.rate * (self.now - h.epoch * COUNT_MS)
         told, steps = divmod(round(total * TOP_DIGITS), TOP_DIGITS)
@@ -351,6 +359,7 @@
         level, top = max(0.0, told - filled), h.top if self.classes > 1 else 1.0
         parts = [top] + [(1 - top) * share / sum(self.shares[1:]) for share in self.shares[1:]]
         a.use = [max(0.0, level * part - max(0.0, v)) for part, v in zip(parts, a.lease, strict=True)]
+        return level
 
     def tell(self, h: Held, block: float) -> None:
         """Adds what was spent and a block, for the untold too, by odds; puts an overfull store right."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -68,6 +68,18 @@
         s.txn(1, 3.0)
         self.same(s, "putright")
 
+    def test_what_was_told_beyond_the_quota_is_taken_back(self) -> None:
+        """Guards the others: beyond a quota nothing leaves the store, and they would decline what it holds."""
+        s = Stage(held=True)
+        s.note("too little time to be held; others took 18 of 20 units meanwhile, so 4 of its 6 are beyond")
+        s.txn(1, 6.0, left=2000.0)
+        s.total(24.0)
+        s.total(20.0)
+        s.note("another customer, 6 units told beside 14 of the others': nothing is taken back")
+        s.txn(1, 6.0, customer=2, left=2000.0)
+        s.total(20.0)
+        self.same(s, "takenback")
+
     def test_a_txn_waits_for_the_total_only_with_time_to_spare(self) -> None:
         s = Stage(held=True)
         s.txn(1, 6.0)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -365,7 +365,7 @@
         self.gateway.close = mock.AsyncMock()   # type: ignore[method-assign]
 
     async def test_a_sighup_before_it_serves_is_heeded_and_one_at_the_end_ends_nothing(self) -> None:
-        """Guards restarts beside new configurations: the signal's default would end the process as by a crash."""
+        """Guards restarts beside new configurations: its default would end the process as by a crash."""
         discovery = await self.stand_in(None)
         text, loop = json.dumps(told(discovery.address, [])).encode(), asyncio.get_running_loop()
         story = ("import runpy, signal\n"
