--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -71,7 +71,7 @@
     def test_what_was_told_beyond_the_quota_is_taken_back(self) -> None:
         """Guards the others: beyond a quota nothing leaves the store, and they would decline what it holds."""
         s = Stage(held=True)
-        s.note("too little time to be held; others took 18 of 20 units meanwhile, so 4 of its 6 are beyond")
+        s.note("too little time to be held; others took 18 of 20 units, 0.2 filled: of its 6, 3 whole ones are beyond")
         s.txn(1, 6.0, left=2000.0)
         s.total(24.0)
         s.total(20.0)
