--- /dev/null
+++ b/drumgw/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: drumgw serve, check, lab."""
--- /dev/null
+++ b/drumgw/cli/__main__.py
@@ -0,0 +1,147 @@
+"""drumgw: the command line. Exit codes: 0 done; 1 a rule was broken, or a run is invalid; 2 unusable input;
+3 the lab could not run the day; 130 stopped by a signal.
+"""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import PackageNotFoundError, version
+from typing import NoReturn
+
+import click
+
+from drumgw.papers.reading import Unusable
+
+BROKEN, UNUSABLE, CANNOT, STOPPED = 1, 2, 3, 130
+
+
+def installed() -> str:
+    try:
+        return version("drumgw")
+    except PackageNotFoundError:
+        return "not installed"
+
+
+def refuse(what: object, code: int = UNUSABLE) -> NoReturn:
+    click.echo(f"drumgw: {what}" if "\n" not in str(what) else str(what), err=True)
+    sys.exit(code)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=__doc__.partition(". ")[2])
+@click.version_option(installed(), prog_name="drumgw")
+def main() -> None:
+    """An admission gateway for services sold by plan."""
+
+
+@main.command()
+@click.argument("config", type=click.Path(dir_okay=False))
+@click.option("--json-logs", is_flag=True, help="Log lines as JSON objects, whatever the file says.")
+def serve(config: str, json_logs: bool) -> None:
+    """Run one gatekeeper as CONFIG, an operator's file, says. SIGTERM ends it, SIGHUP reads it again."""
+    from drumgw.cli.serving import run
+    from drumgw.gate.charter import BadCharter
+
+    try:
+        sys.exit(run(config, json_logs))
+    except (Unusable, BadCharter) as bad:
+        refuse(bad)
+
+
+@main.command()
+@click.argument("config", type=click.Path(dir_okay=False))
+@click.option("--show", is_flag=True, help="Print the configuration that it makes, as JSON.")
+def check(config: str, show: bool) -> None:
+    """Check CONFIG, an operator's file: every mistake in it, each on a line with the path to its key."""
+    import json
+
+    from drumgw.papers.office import configuration, read_office
+    from drumgw.terms import BadTerms, read_terms
+
+    try:
+        office = read_office(config)
+        told = configuration(office)
+        read_terms(told["settings"])
+    except (Unusable, BadTerms) as bad:
+        refuse(bad)
+    if show:
+        click.echo(json.dumps(told, indent=1))
+    else:
+        g = office.gateway
+        click.echo(
+            f"{config}: usable: {g.name} at {g.listen}, {len(office.product)} product(s), "
+            f"{len(office.plan)} plan(s), {g.gatekeepers} gatekeeper(s)"
+        )
+
+
+@main.group()
+def lab() -> None:
+    """The laboratory: play a day against gatekeepers, judge it, report."""
+
+
+@lab.command("run")
+@click.argument("day", type=click.Path(dir_okay=False))
+@click.option("--seed", type=click.IntRange(0, 2**63), default=1, show_default=True)
+@click.option(
+    "--virtual",
+    is_flag=True,
+    help="On a virtual clock in this process, instead of real gatekeepers on " "sockets.",
+)
+@click.option(
+    "--out", type=click.Path(file_okay=False), help="Where to leave the run.  [default: runs/NAME-SEED]"
+)
+@click.option("--quiet", is_flag=True, help="Print nothing but broken rules.")
+def lab_run(day: str, seed: int, virtual: bool, out: str | None, quiet: bool) -> None:
+    """Play DAY, a day file, with real gatekeepers on loopback, or on a virtual clock."""
+    from drumgw.lab.day import read_day
+    from drumgw.lab.report import rules, text
+    from drumgw.lab.running import Stopped, run_day
+
+    try:
+        name = read_day(day).name
+        found = run_day(day, seed, out or f"runs/{name}-{seed}", virtual)
+    except Unusable as bad:
+        refuse(bad)
+    except Stopped:
+        refuse("stopped; no gatekeeper was left behind", STOPPED)
+    except (RuntimeError, OSError) as cannot:
+        refuse(cannot, CANNOT)
+    click.echo("\n".join(rules([found])) if quiet else text([found]))
+    sys.exit(BROKEN if found["breaches"] or not found["valid"] else 0)
+
+
+@lab.command("report")
+@click.argument("runs", nargs=-1, required=True, type=click.Path(exists=True, file_okay=False))
+@click.option(
+    "--against",
+    multiple=True,
+    type=click.Path(exists=True, file_okay=False),
+    help="A run to set beside them; may be given several times.",
+)
+@click.option("--json", "as_text", is_flag=True, help="The figures for programs.")
+@click.option("--plots", type=click.Path(file_okay=False), help="Draw plots into this folder.")
+@click.option("--form", type=click.Choice(["svg", "png"]), default="svg", show_default=True)
+def lab_report(
+    runs: tuple[str, ...], against: tuple[str, ...], as_text: bool, plots: str | None, form: str
+) -> None:
+    """Report on RUNS, folders that `lab run` left: together with their spread, or beside others."""
+    from drumgw.lab.record import BadRecord
+    from drumgw.lab.report import as_json, beside, read_run, text
+
+    try:
+        found, others = [read_run(r)[0] for r in runs], [read_run(r)[0] for r in against]
+    except (Unusable, BadRecord) as bad:
+        refuse(bad)
+    if as_text:
+        click.echo(as_json([*found, *others]))
+    else:
+        click.echo(beside(found, others) if others else text(found))
+    if plots is not None:
+        from drumgw.lab.plots import plot
+
+        for path in plot(found, plots, form):
+            click.echo(f"drawn: {path}")
+    sys.exit(BROKEN if any(run["breaches"] or not run["valid"] for run in found) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -62,6 +62,11 @@
         raise BadCharter(f"{path}: {str(bad).splitlines()[0]}") from bad
     if not isinstance(told, dict):
         raise BadCharter(f"{path}: not an object")
+    return charter_of(told, env, path)
+
+
+def charter_of(told: dict[str, Any], env: Mapping[str, str], path: str = "configuration") -> Charter:
+    """The charter of what a configuration says; GW_ variables stand over it."""
     try:
         return _charter(told, env)
     except KeyError as lack:
--- /dev/null
+++ b/drumgw/lab/sockets.py
@@ -0,0 +1,379 @@
+"""A day on loopback: real gatekeepers, each a process as `run` starts it, and stand-ins in one process.
+
+Bounded in time by the day; whatever ends it, no process stays behind.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+from functools import partial
+from typing import Any
+
+from drumgw.lab.clients import Try
+from drumgw.lab.clocks import LoopClock
+from drumgw.lab.day import Day
+from drumgw.lab.record import Record
+from drumgw.lab.servers import CounterLine, RegistryLine, WorkerLine
+from drumgw.lab.wires import Asker, Messages, answer, headers
+from drumgw.lab.worker import Worker
+from drumgw.lab.world import World
+
+HOST = "127.0.0.1"
+READY_S = 20.0  # until a gatekeeper takes clients; longer is a failed start
+CLOSES_MS = 1500.0  # an address that discovery has left closes after this
+KILL_MS = 700.0  # beyond the longest expiry, from SIGTERM to SIGKILL
+RUN = (sys.executable, "-O", "-m", "drumgw")
+
+
+class CannotRun(RuntimeError):
+    """The lab could not play the day; this says nothing of the gatekeepers."""
+
+
+class Keeper:
+    """A gatekeeper's process, its addresses and its log."""
+
+    def __init__(self, lab: Sockets, number: int) -> None:
+        self.lab, self.number = lab, number
+        self.process: asyncio.subprocess.Process | None = None
+        self.port = free_port()
+        self.discovery = self.counter = ""
+        self.expected = False  # that it ends
+        self.ready = False
+        self.idle: list[Asker] = []  # clients' connections that carry nothing; emptied as they close
+        self.busy: dict[str, Asker] = {}  # by try; emptied as tries end
+
+    @property
+    def path(self) -> pathlib.Path:
+        return self.lab.folder / f"n{self.number}.json"
+
+    def configure(self) -> None:
+        world = self.lab.world
+        known = self.lab.known
+        rows = [
+            {**row, "hostPort": self.lab.address(self.number, row["instanceId"])}
+            for row in known["instances"]
+        ]
+        told = {
+            "name": f"n{self.number}",
+            "listen": f"{HOST}:{self.port}",
+            "discovery": self.discovery,
+            "counter": self.counter or None,
+            "seed": f"{self.lab.chance.getrandbits(64):016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {**known, "instances": rows},
+            "settings": world.settings(self.number),
+        }
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(json.dumps(told))
+        fresh.replace(self.path)
+
+    async def start(self) -> None:
+        self.configure()
+        self.expected = self.ready = False
+        with open(self.lab.folder / f"n{self.number}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *RUN,
+                env={**os.environ, "GW_CONFIG": str(self.path)},
+                stderr=log,
+                stdout=log,
+                stdin=asyncio.subprocess.DEVNULL,
+                start_new_session=True,
+            )
+        self.lab.record.add(self.lab.clock.now(), "gate", gate=self.number, state="starts")
+        self.lab.world.registry.note(self.number, self.lab.known)
+        self.lab.spawn(self.watch(self.process))
+        self.ready = await self.wait_ready(self.process)
+        if self.ready:
+            self.lab.world.clients.front(self.number, True)
+        elif not self.expected:
+            self.lab.record.add(self.lab.clock.now(), "gate", gate=self.number, state="never ready")
+
+    async def wait_ready(self, process: asyncio.subprocess.Process) -> bool:
+        end = self.lab.clock.now() + READY_S * 1000.0
+        while self.lab.clock.now() < end and process.returncode is None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                async with asyncio.timeout(2.0):
+                    reader, writer = await asyncio.open_connection(HOST, self.port)
+                    try:
+                        writer.write(b"GET /health/ready HTTP/1.1\r\nHost: lab\r\n\r\n")
+                        if b" 200 " in await reader.readline():
+                            return True
+                    finally:
+                        writer.close()
+            await asyncio.sleep(0.05)
+        return False
+
+    async def watch(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        if not self.expected:
+            self.lab.record.add(self.lab.clock.now(), "gate", gate=self.number, state="crashed", code=code)
+            self.lab.world.clients.front(self.number, False)
+
+    def send(self, number: int) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: int) -> None:
+        """Told to end or killed; back after the fleet's time."""
+        process, lab = self.process, self.lab
+        if process is None or process.returncode is not None or self.expected:
+            return
+        self.expected = True
+        killed = number is signal.SIGKILL
+        lab.record.add(lab.clock.now(), "gate", gate=self.number, state="killed" if killed else "told to end")
+        self.send(number)
+        notices = lab.day.fleet.front_notices_ms if killed else 300.0
+        lab.clock.at(lab.clock.now() + notices, partial(self.notice, process))
+        try:
+            async with asyncio.timeout((lab.longest_ms + KILL_MS + 500.0) / 1000.0):
+                await process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await process.wait()
+        if not killed:
+            lab.record.add(lab.clock.now(), "gate", gate=self.number, state="ended", code=process.returncode)
+        await asyncio.sleep(lab.day.fleet.restart_ms / 1000.0)
+        await self.start()
+
+    def notice(self, process: asyncio.subprocess.Process) -> None:
+        if self.process is process and (not self.ready or self.expected):
+            self.lab.world.clients.front(self.number, False)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+class Sockets:
+    def __init__(self, day: Day, seed: int, folder: pathlib.Path, record: Record | None = None) -> None:
+        self.day, self.folder = day, folder
+        self.clock = LoopClock()
+        self.loop = self.clock.loop
+        self.record = record or Record({"day": day.name, "seed": seed, "clock": "sockets"})
+        self.world = World(day, seed, self.clock, self.record)
+        self.world.keepers = self.world.clients.gates = self
+        self.chance = self.world.book.chance("gatekeepers")
+        self.longest_ms = max(p.expiry_ms for p in day.product)
+        self.ports: dict[tuple[int, str], int] = {}  # where a gatekeeper reaches a worker
+        self.listening: dict[str, list[asyncio.Server]] = {}  # of a worker, while it is up
+        self.servers: list[asyncio.Server] = []
+        self.worker_lines: set[WorkerLine] = set()  # open ones; emptied as they close
+        self.tasks: set[asyncio.Task[Any]] = set()  # emptied as they end
+        self.known: dict[str, Any] = {}
+        self.keepers = [Keeper(self, n) for n in range(day.fleet.gatekeepers)]
+
+    def spawn(self, work: Any) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> Record:
+        try:
+            await self.open()
+            self.world.begin()
+            await asyncio.sleep((self.world.ends_at() - self.clock.now()) / 1000.0)
+            counter, clients = self.world.counter, self.world.clients
+            if counter is not None:
+                self.record.add(self.clock.now(), "counter", calls=counter.calls)
+            self.record.add(self.clock.now(), "ends", sent=clients.sent, late=clients.late)
+            return self.record
+        finally:
+            await self.close()
+
+    async def open(self) -> None:
+        self.known = self.world.registry.first()
+        for worker in self.world.workers.values():
+            await self.listen(worker)
+        for keeper in self.keepers:
+            await self.settle(keeper)
+        for worker in self.world.workers.values():
+            self.mind(worker)
+        await asyncio.gather(*(keeper.start() for keeper in self.keepers))
+        if not all(keeper.ready for keeper in self.keepers):
+            raise CannotRun(
+                "a gatekeeper was not ready in time; its log and its configuration are in " f"{self.folder}"
+            )
+
+    async def settle(self, keeper: Keeper) -> None:
+        """Addresses of discovery and counter, its own."""
+        made: list[tuple[str, Any]] = [("discovery", RegistryLine)]
+        if self.world.counter is not None:
+            made.append(("counter", CounterLine))
+        for name, line in made:
+            server = await self.loop.create_server(partial(line, self, keeper.number), HOST, 0)
+            self.servers.append(server)
+            setattr(keeper, name, "{}:{}".format(*server.sockets[0].getsockname()))
+
+    async def listen(self, worker: Worker) -> None:
+        """At the addresses it had, if it had any."""
+        made = []
+        for gate in range(self.day.fleet.gatekeepers):
+            server = await self.loop.create_server(
+                partial(WorkerLine, self, worker, gate),
+                HOST,
+                self.ports.get((gate, worker.name), 0),
+                backlog=1024,
+                reuse_address=True,
+            )
+            self.ports[gate, worker.name] = server.sockets[0].getsockname()[1]
+            made.append(server)
+        self.listening[worker.name] = made
+
+    def mind(self, worker: Worker) -> None:
+        """Its machine refuses connections while its process is down."""
+        down, back = worker.down, worker.back
+
+        def goes_down(for_ms: float | None) -> None:
+            for server in self.listening.pop(worker.name, []):
+                server.close()
+            down(for_ms)
+            for line in [x for x in self.worker_lines if x.worker is worker]:
+                line.abort()
+
+        def comes_back() -> None:
+            back()
+            self.spawn(self.listen(worker))
+
+        worker.down, worker.back = goes_down, comes_back  # type: ignore[method-assign]
+
+    def address(self, gate: int, name: str) -> str:
+        """Of a worker, for a gatekeeper; a new worker listens before anyone is told of it."""
+        if (gate, name) not in self.ports:
+            worker = self.world.workers[name]
+            for other in range(self.day.fleet.gatekeepers):
+                taken = socket.socket()
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                taken.bind((HOST, 0))
+                taken.listen(1024)
+                taken.setblocking(False)
+                self.ports[other, name] = taken.getsockname()[1]
+                self.spawn(self.adopt(worker, other, taken))
+            self.mind(worker)
+        return f"{HOST}:{self.ports[gate, name]}"
+
+    async def adopt(self, worker: Worker, gate: int, listening: socket.socket) -> None:
+        server = await self.loop.create_server(partial(WorkerLine, self, worker, gate), sock=listening)
+        self.listening.setdefault(worker.name, []).append(server)
+
+    async def close(self) -> None:
+        for keeper in self.keepers:
+            keeper.expected = True
+            if keeper.process is not None and keeper.process.returncode is None:
+                keeper.send(signal.SIGCONT)
+                keeper.send(signal.SIGKILL)
+        for task in list(self.tasks):
+            task.cancel()
+        for keeper in self.keepers:
+            if keeper.process is not None:
+                await keeper.process.wait()
+        for server in [*self.servers, *(s for made in self.listening.values() for s in made)]:
+            server.close()
+
+    # The clients' port
+
+    def send(self, one: Try, again: bool = False) -> None:
+        keeper = self.keepers[one.gate]
+        while keeper.idle and not again:
+            asker = keeper.idle.pop()
+            if asker.open:
+                self.ask(keeper, one, asker, fresh=False)
+                return
+        self.spawn(self.connect(keeper, one))
+
+    async def connect(self, keeper: Keeper, one: Try) -> None:
+        try:
+            _, asker = await self.loop.create_connection(lambda: Asker(self.clock.now), HOST, keeper.port)
+        except OSError:
+            self.world.clients.unreached(one)
+            return
+        if one.over:
+            asker.leave()
+            return
+        self.ask(keeper, one, asker, fresh=True)
+
+    def ask(self, keeper: Keeper, one: Try, asker: Asker, fresh: bool) -> None:
+        keeper.busy[one.name] = asker
+
+        def heard(head: bytes, body: bytes) -> None:
+            keeper.busy.pop(one.name, None)
+            told, status = headers(head), int(head.split(b" ", 2)[1])
+            if told.get("connection", "").lower() == "close":
+                asker.leave()
+            else:
+                keeper.idle.append(asker)
+            wait = float(told.get("retry-after", 0.0)) * 1000.0
+            self.world.clients.answered(
+                one, status, body.decode("latin-1")[:32] if status == 200 else "", wait
+            )
+
+        def lost(began: bool) -> None:
+            keeper.busy.pop(one.name, None)
+            if fresh or began:
+                self.world.clients.closed(one)
+            elif not one.over:
+                self.send(one, again=True)  # the close crossed it: once more, on a new connection
+
+        asker.ask(request(one), heard, lost)
+
+    def leave(self, one: Try) -> None:
+        asker = self.keepers[one.gate].busy.pop(one.name, None)
+        if asker is not None:
+            asker.leave()
+
+    # What troubles reach
+
+    def restart(self, number: int) -> None:
+        self.spawn(self.keepers[number].end(signal.SIGTERM))
+
+    def kill(self, number: int) -> None:
+        self.spawn(self.keepers[number].end(signal.SIGKILL))
+
+    def pause(self, number: int, for_ms: float) -> None:
+        keeper = self.keepers[number]
+        self.record.add(self.clock.now(), "gate", gate=number, state="paused", ms=for_ms)
+        keeper.send(signal.SIGSTOP)
+        self.clock.at(self.clock.now() + for_ms, lambda: keeper.send(signal.SIGCONT))
+
+    def moves(self) -> None:
+        """Discovery and counter have new addresses; the old ones close after a while."""
+        old, self.servers = self.servers, []
+
+        async def move() -> None:
+            for keeper in self.keepers:
+                await self.settle(keeper)
+                keeper.configure()
+                if keeper.ready and not keeper.expected:
+                    keeper.send(signal.SIGHUP)
+            await asyncio.sleep(CLOSES_MS / 1000.0)
+            for server in old:
+                server.close()
+
+        self.spawn(move())
+
+
+def request(one: Try) -> bytes:
+    a = one.order.arrival
+    method = "GET" if a.product.repeat == "inquiry-like" else "POST"
+    lines = [
+        f"{method} /{a.product.name}?account={a.customer.number:016x} HTTP/1.1",
+        "Host: lab",
+        f"Request-Id: {one.name}",
+        f"Plan: {a.customer.plan.name}",
+        f"Request-Timeout: {one.left_ms:.0f}m",
+        f"Quota-Info: units={a.units},spread={len(a.customer.gates)},first={a.customer.gates[0]}",
+    ]
+    if method == "POST":
+        lines.append("Content-Length: 0")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+__all__ = ["CannotRun", "Messages", "Sockets", "answer"]
--- /dev/null
+++ b/drumgw/lab/virtual.py
@@ -0,0 +1,442 @@
+"""A day on a virtual clock: hundreds of gatekeepers round the I/O-free core, stand-ins, a wire between.
+
+The wire does what the gate's adapters do on sockets: connections are opened and kept, what is given up is
+gone, drains stop what was not written. The same seed gives the same record, byte for byte.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from drumgw import interface as api
+from drumgw.control import Gatekeeper
+from drumgw.gate.core import Alarm, Core, Effect, Fault, Keeper, Reply, Send, Stop
+from drumgw.gate.roster import STATES, worker_id
+from drumgw.interface import End, Health
+from drumgw.lab.clients import Try
+from drumgw.lab.clocks import Handle, VirtualClock
+from drumgw.lab.day import Day
+from drumgw.lab.record import Record
+from drumgw.lab.worker import Says, Ticket, Worker
+from drumgw.lab.world import World
+from drumgw.terms import read_terms
+
+START_MS = 1_700_000_000_000.0  # of Unix time; any will do, but each run the same
+LINGER_MS = 700.0  # a gatekeeper that was told to end serves on for so long
+READY_MS = 300.0  # from its start until it takes clients
+ENDS = {
+    "settled": End.SETTLED,
+    "error": End.ERROR,
+    "full": End.FULL,
+    "reset": End.BROKEN,
+    "spoilt": End.BROKEN,
+}
+MakeKeeper = Callable[[int, api.Terms], Keeper]
+
+
+class Sent:
+    """A submission on its way, out, or coming back."""
+
+    __slots__ = ("worker", "ticket", "written", "over")
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker, self.written, self.over = worker, False, False
+        self.ticket: Ticket | None = None
+
+
+class Gate:
+    """One gatekeeper: a core, and its adapters as far as they decide nothing."""
+
+    def __init__(self, runner: Virtual, number: int, seed: int, known: dict[str, Any]) -> None:
+        self.runner, self.world, self.clock, self.number = runner, runner.world, runner.clock, number
+        terms, self.names = read_terms(self.world.settings(number))
+        self.core = Core(runner.make(seed, terms), terms)
+        self.listed: dict[int, Worker] = {}  # by the module's number; emptied by the list
+        self.closed: set[int] = set()  # of them, those that drain
+        self.idle: dict[str, list[float]] = {}  # kept connections: since when idle; emptied as they age
+        self.sent: dict[tuple[int, int], Sent] = {}  # emptied by ends and stops
+        self.tries: dict[int, Try] = {}  # txns in hand; emptied by replies
+        self.txns: dict[str, int] = {}  # the same, by name
+        self.alive, self.closing, self.paused_until = True, False, 0.0
+        self.generation = known["generation"]
+        self.carry(self.core.start(self.clock.now(), self.read(known)))
+
+    # Time: what reaches a gatekeeper that stands waits until it runs again
+
+    def at(self, at_ms: float, call: Callable[[], None]) -> Handle:
+        return self.clock.at(at_ms, partial(self.when_running, call))
+
+    def after(self, ms: float, call: Callable[[], None]) -> Handle:
+        return self.at(self.clock.now() + ms, call)
+
+    def when_running(self, call: Callable[[], None]) -> None:
+        if self.paused_until > self.clock.now():
+            self.clock.at(self.paused_until, partial(self.when_running, call))
+        elif self.alive:
+            call()
+
+    def pause(self, for_ms: float) -> None:
+        self.paused_until = self.clock.now() + for_ms
+        self.core.stood += for_ms
+
+    # The list
+
+    def read(self, told: dict[str, Any]) -> api.Listed:
+        self.world.registry.note(self.number, told)
+        return self.heed(told)
+
+    def heed(self, told: dict[str, Any]) -> api.Listed:
+        entries, named = [], set[int]()
+        for row in told["instances"]:
+            number, health = worker_id(row["instanceId"]), STATES[row["lifecycle"]]
+            named.add(number)
+            entries.append(
+                api.Entry(
+                    number,
+                    self.names.zone(row["zone"]),
+                    row["cell"],
+                    row["machineType"],
+                    health,
+                    row["startedAtMs"] or None,
+                    row["weight"],
+                )
+            )
+            if health is Health.READY:
+                self.listed[number] = self.world.workers[row["instanceId"]]
+                self.closed.discard(number)
+            elif number in self.listed:
+                self.drain(number, health is Health.GONE)
+        for number in set(self.listed) - named if told["reset"] else ():
+            self.drain(number, gone=True)
+        self.generation = told["generation"]
+        return api.Listed(told["reset"], tuple(entries))
+
+    def drain(self, number: int, gone: bool) -> None:
+        worker = self.listed[number]
+        self.closed.add(number)
+        self.idle.pop(worker.name, None)
+        for key in [k for k, s in self.sent.items() if s.worker is worker and not s.written]:
+            self.give_up(key)
+            self.after(0.0, partial(self.ended, key, End.NOT_SENT))
+        if gone:
+            del self.listed[number]
+
+    def hear(self) -> None:
+        """The watch: answered when there is news, and at once asked again."""
+        if not self.alive:
+            return
+        registry = self.world.registry
+        told = registry.news(self.number, self.generation)
+        if told is not None:
+            self.carry(self.core.listed(self.clock.now(), self.read(told)))
+        registry.waiting[self.number] = partial(self.when_running, self.hear)
+
+    # Effects
+
+    def carry(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self.send(effect)
+                case Stop():
+                    self.give_up((effect.txn, effect.submission))
+                case Reply():
+                    self.reply(effect)
+                case Alarm():
+                    self.at(effect.at_ms, partial(self.ring, effect))
+                case api.Wake():
+                    self.after(effect.after_ms, partial(self.due, effect.label))
+                case api.Add():
+                    self.add(effect)
+                case Fault():
+                    self.world.record.add(
+                        self.clock.now(), "fault", gate=self.number, error=repr(effect.error)
+                    )
+                case api.Say():
+                    self.world.record.add(self.clock.now(), "says", gate=self.number, text=effect.text)
+
+    def ring(self, alarm: Alarm) -> None:
+        self.carry(self.core.alarm(self.clock.now(), alarm.txn, alarm.submission))
+
+    def due(self, label: int) -> None:
+        self.carry(self.core.due(self.clock.now(), label))
+
+    # Clients
+
+    def take(self, one: Try) -> None:
+        a, now = one.order.arrival, self.clock.now()
+        waited = now - one.sent_at if now - one.sent_at > 20.0 else 0.0  # read late, after a stall
+        asked = api.Txn(
+            0,
+            one.left_ms,
+            self.names.plans[a.customer.plan.name],
+            a.customer.number,
+            self.names.products[a.product.name],
+            float(a.units),
+            False,
+            len(a.customer.gates),
+            a.customer.gates[0],
+        )
+        txn = self.core.taken + 1
+        self.tries[txn], self.txns[one.name] = one, txn
+        _, effects = self.core.arrive(now, asked, waited)
+        self.carry(effects)
+
+    def left(self, one: Try) -> None:
+        txn = self.txns.pop(one.name, None)
+        if txn is not None:
+            self.tries.pop(txn, None)
+            self.carry(self.core.left(self.clock.now(), txn))
+
+    def reply(self, reply: Reply) -> None:
+        one = self.tries.pop(reply.txn, None)
+        if one is not None:
+            self.txns.pop(one.name, None)
+            self.clock.at(
+                self.clock.now() + self.world.day.fleet.client_ms,
+                partial(
+                    self.world.clients.answered, one, reply.status, reply.answer or "", reply.retry_after_ms
+                ),
+            )
+
+    # Workers
+
+    def send(self, order: Send) -> None:
+        key, worker = (order.txn, order.submission), self.listed.get(order.worker)
+        if worker is None or order.worker in self.closed:
+            self.after(0.0, partial(self.ended, key, End.NOT_SENT))
+            return
+        sent = self.sent[key] = Sent(worker)
+        way = self.world.one_way(self.number, worker)
+        if self.kept(worker):
+            self.write(key, sent, way)
+        else:
+            self.connect(key, sent, way)
+
+    def kept(self, worker: Worker) -> bool:
+        """A connection that is idle, not for longer than half of its worker's limit."""
+        idle = self.idle.get(worker.name, [])
+        oldest = self.clock.now() - self.world.day.allowed.idle_ms / 2
+        fresh = [at for at in idle if at > oldest]
+        for _ in range(len(idle) - len(fresh)):
+            worker.closed(self.number)
+        self.idle[worker.name] = fresh[:-1]
+        return bool(fresh)
+
+    def connect(self, key: tuple[int, int], sent: Sent, way: float) -> None:
+        day, worker = self.world.day, sent.worker
+        if self.world.parted(self.number, worker.zone):
+            self.after(day.allowed.connect_ms, partial(self.ended, key, End.UNREACHED))
+            return
+
+        def arrives() -> None:
+            if not worker.takes(self.number):
+                self.after(way, partial(self.ended, key, End.UNREACHED))
+                return
+            self.clock.at(self.clock.now() + day.worker.handshake_ms + way, up)
+
+        def up() -> None:
+            if self.sent.get(key) is sent and self.alive:
+                self.when_running(partial(self.write, key, sent, way))
+            else:
+                worker.closed(self.number)
+
+        self.clock.at(self.clock.now() + way, arrives)
+
+    def write(self, key: tuple[int, int], sent: Sent, way: float) -> None:
+        if self.sent.get(key) is not sent:
+            sent.worker.closed(self.number)
+            return
+        one = self.tries.get(key[0])
+        name = one.name if one is not None else ""
+        first, sent.written = self.clock.now(), True
+        ticket = sent.ticket = Ticket(
+            self.world.ticket(), name, one, self.number, partial(self.told, key, sent, way)
+        )
+        if not self.world.parted(self.number, sent.worker.zone):
+            self.clock.at(first + way, lambda: self.come(ticket, sent, first))
+
+    def come(self, ticket: Ticket, sent: Sent, first: float) -> None:
+        if not sent.over:
+            sent.worker.come(ticket, first)
+
+    def told(self, key: tuple[int, int], sent: Sent, way: float, ticket: Ticket, says: Says) -> None:
+        if self.world.parted(self.number, sent.worker.zone):
+            return
+        units = float(ticket.asked.order.arrival.true_units) if ticket.asked and says == "settled" else 0.0
+        self.clock.at(
+            self.clock.now() + way,
+            partial(self.when_running, partial(self.back, key, sent, says, units, ticket.name)),
+        )
+
+    def back(self, key: tuple[int, int], sent: Sent, says: Says, units: float, mark: str) -> None:
+        if self.sent.get(key) is not sent:
+            return
+        if says in ("reset", "spoilt"):
+            sent.worker.closed(self.number)
+        else:
+            self.idle.setdefault(sent.worker.name, []).append(self.clock.now())
+        self.ended(key, ENDS[says], units, mark)
+
+    def ended(self, key: tuple[int, int], end: End, units: float = 0.0, mark: str = "") -> None:
+        self.sent.pop(key, None)
+        self.carry(self.core.ended(self.clock.now(), *key, end, units, {}, mark))
+
+    def give_up(self, key: tuple[int, int]) -> None:
+        """Its connection is closed at once."""
+        sent = self.sent.pop(key, None)
+        if sent is None:
+            return
+        sent.over = True
+        if sent.written:
+            sent.worker.closed(self.number)
+            if sent.ticket is not None and sent.ticket.worker is not None:
+                sent.worker.give_up(sent.ticket)
+
+    # The counter
+
+    def add(self, order: api.Add) -> None:
+        counter, kind = self.world.counter, self.world.day.counter
+        assert counter is not None and kind is not None
+        way = kind.one_way_ms
+        asked, done = self.clock.now(), [False]
+
+        def finish(end: End, total: float) -> None:
+            if not done[0]:
+                done[0] = True
+                self.carry(
+                    self.core.total(self.clock.now(), order.name, end, total, self.clock.now() - asked)
+                )
+
+        def answer(says: str, total: float) -> None:
+            self.clock.at(
+                self.clock.now() + way,
+                partial(
+                    self.when_running, partial(finish, End.SETTLED if says == "added" else End.FULL, total)
+                ),
+            )
+
+        self.clock.at(
+            asked + way,
+            lambda: counter.call(self.number, str(order.name), order.amount, order.lives_ms, answer),
+        )
+        self.after(self.world.day.allowed.counter_wait_ms, partial(finish, End.TIMEOUT, 0.0))
+
+    # Its end
+
+    def die(self) -> None:
+        """Killed, or ended: its connections are reset."""
+        self.alive = False
+        for key in list(self.sent):
+            self.give_up(key)
+        for worker in self.world.workers.values():
+            worker.lines.pop(self.number, None)
+        self.world.registry.waiting[self.number] = None
+        self.world.registry.knows[self.number].clear()
+        for one in list(self.tries.values()):
+            self.clock.at(
+                self.clock.now() + self.world.day.fleet.client_ms, partial(self.world.clients.closed, one)
+            )
+
+
+class Virtual:
+    """All gatekeepers of the day, and how tries reach them."""
+
+    gate_kind: type[Gate] = Gate        # tests put broken ones in its place
+
+    def __init__(
+        self, day: Day, seed: int, make: MakeKeeper = Gatekeeper, record: Record | None = None
+    ) -> None:
+        self.day, self.make = day, make
+        self.clock = VirtualClock(START_MS)
+        self.record = record or Record({"day": day.name, "seed": seed, "clock": "virtual"})
+        self.world = World(day, seed, self.clock, self.record)
+        self.world.keepers = self.world.clients.gates = self
+        self.chance = self.world.book.chance("gatekeepers")
+        self.known = self.world.registry.first()
+        self.gates = [self.new(number) for number in range(day.fleet.gatekeepers)]
+
+    def run(self) -> Record:
+        for gate in self.gates:
+            gate.hear()
+        self.clock.run(START_MS + READY_MS)
+        self.world.begin()
+        self.clock.run(self.world.ends_at())
+        if self.world.counter is not None:
+            self.record.add(self.clock.now(), "counter", calls=self.world.counter.calls)
+        self.record.add(self.clock.now(), "ends", sent=self.world.clients.sent, late=self.world.clients.late)
+        return self.record
+
+    def new(self, number: int) -> Gate:
+        self.record.add(self.clock.now(), "gate", gate=number, state="starts")
+        return self.gate_kind(self, number, self.chance.getrandbits(63), self.known)
+
+    # The clients' port
+
+    def send(self, one: Try) -> None:
+        self.clock.at(self.clock.now() + self.day.fleet.client_ms, partial(self.reach, one, self.clock.now()))
+
+    def reach(self, one: Try, _sent: float) -> None:
+        gate = self.gates[one.gate]
+        if one.over:
+            return
+        if gate.alive:
+            gate.when_running(partial(gate.take, one))
+        else:
+            self.clock.at(
+                self.clock.now() + self.day.fleet.client_ms, partial(self.world.clients.unreached, one)
+            )
+
+    def leave(self, one: Try) -> None:
+        gate = self.gates[one.gate]
+        self.clock.at(
+            self.clock.now() + self.day.fleet.client_ms, partial(gate.when_running, partial(gate.left, one))
+        )
+
+    # What troubles reach
+
+    def restart(self, number: int) -> None:
+        """Told to end: not ready for the front, it serves on for a while and finishes what it has."""
+        gate = self.gates[number]
+        if gate.closing or not gate.alive:
+            return
+        gate.closing = True
+        self.record.add(self.clock.now(), "gate", gate=number, state="told to end")
+        self.clock.at(self.clock.now() + 300.0, lambda: self.world.clients.front(number, False))
+        self.clock.at(self.clock.now() + LINGER_MS, partial(self.finish, gate))
+
+    def finish(self, gate: Gate) -> None:
+        if gate.alive and gate.tries:
+            self.clock.at(self.clock.now() + 10.0, partial(self.finish, gate))
+        elif gate.alive:
+            gate.die()
+            self.record.add(self.clock.now(), "gate", gate=gate.number, state="ended")
+            self.clock.at(self.clock.now() + self.day.fleet.restart_ms, partial(self.again, gate.number))
+
+    def kill(self, number: int) -> None:
+        gate = self.gates[number]
+        if not gate.alive:
+            return
+        self.record.add(self.clock.now(), "gate", gate=number, state="killed")
+        gate.die()
+        fleet = self.day.fleet
+        self.clock.at(self.clock.now() + fleet.front_notices_ms, lambda: self.believe(number))
+        self.clock.at(self.clock.now() + fleet.restart_ms, partial(self.again, number))
+
+    def believe(self, number: int) -> None:
+        if not self.gates[number].alive:
+            self.world.clients.front(number, False)
+
+    def again(self, number: int) -> None:
+        gate = self.gates[number] = self.new(number)
+        gate.hear()
+        self.clock.at(self.clock.now() + READY_MS, lambda: self.world.clients.front(number, True))
+
+    def pause(self, number: int, for_ms: float) -> None:
+        self.record.add(self.clock.now(), "gate", gate=number, state="paused", ms=for_ms)
+        self.gates[number].pause(for_ms)
+
+    def moves(self) -> None:
+        """Discovery has no address here; on sockets it moves by SIGHUP."""
--- /dev/null
+++ b/tests/labour.py
@@ -0,0 +1,199 @@
+"""The laboratory's test helper: short days, and gatekeepers that are broken on purpose."""
+
+from __future__ import annotations
+
+import tempfile
+from typing import Any
+
+from drumgw import interface as api
+from drumgw.control import OUT, TXN_TABLE, Gatekeeper, Held, Table, Worker
+from drumgw.gate.core import Reply
+from drumgw.interface import End
+from drumgw.lab.day import Day, read_day
+from drumgw.lab.judge import Breach, judge
+from drumgw.lab.record import Record
+from drumgw.lab.virtual import Gate, Virtual
+
+HEAD = """
+version = 1
+name = "short"
+seconds = {seconds}
+[fleet]
+gatekeepers = {gatekeepers}
+workers = {workers}
+zones = ["a", "b"]
+[worker]
+cores = {cores}
+dead_noticed_ms = 500
+[discovery]
+delay_ms = 100
+spread_ms = 50
+[rules]
+cold_from = {cold_from}
+cold_ms = {cold_ms}
+fall_multiple = {fall_multiple}
+fall_ms = 500
+[[product]]
+name = "preview"
+sla_ms = 900
+expiry_ms = 2500
+repeat = "inquiry-like"
+[[product]]
+name = "sold-copy"
+value = 3
+sla_ms = 400
+expiry_ms = 1200
+repeat = "once-only"
+[[product]]
+name = "booking"
+value = 2
+sla_ms = 500
+expiry_ms = 1500
+repeat = "referenced"
+group = "zone"
+remember_ms = 1000
+[[plan]]
+name = "basic"
+units_per_s = 4
+burst_units = 12
+over_cost = 0.8
+[[plan]]
+name = "flagship"
+units_per_s = 20
+burst_units = 40
+price = 1.8
+ceiling_per_s = 25
+ceiling_burst = 50
+ceiling_slack = 5
+[[work]]
+product = "preview"
+share = 0.5
+mean_ms = 40
+[[work]]
+product = "sold-copy"
+share = 0.3
+mean_ms = 20
+[[work]]
+product = "booking"
+share = 0.2
+mean_ms = 20
+[[customers]]
+plan = "basic"
+number = 20
+[[customers]]
+plan = "flagship"
+number = 6
+use = {use}
+"""
+PLAIN: dict[str, Any] = {
+    "seconds": 3,
+    "gatekeepers": 3,
+    "workers": 6,
+    "cores": 2,
+    "cold_from": 0.2,
+    "cold_ms": 3000,
+    "fall_multiple": 4,
+    "use": 0.4,
+}
+
+
+def day(*troubles: str, **figures: Any) -> Day:
+    """Each trouble: its keys as TOML, in one line."""
+    text = HEAD.format(**{**PLAIN, **figures})
+    for trouble in troubles:
+        text += "[[trouble]]\n" + trouble.replace("; ", "\n") + "\n"
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(text)
+        file.flush()
+        return read_day(file.name)
+
+
+def play(
+    of: Day, seed: int = 1, keeper: Any = Gatekeeper, gate: type[Gate] = Gate
+) -> tuple[Record, list[Breach]]:
+    class Broken(Virtual):
+        gate_kind = gate
+
+    record = Broken(of, seed, keeper).run()
+    return record, judge(record, of)
+
+
+# Gatekeepers that break one rule each
+
+
+class Swapped(Gatekeeper):
+    """Its table of a txn has other effects in some places."""
+
+    effects: dict[tuple[str, str], Any] = {}
+
+    def step(self, table: Table, thing: Any, word: str | None) -> None:
+        if table is TXN_TABLE:
+            table = {
+                **TXN_TABLE,
+                **{row: (TXN_TABLE[row][0], effect) for row, effect in self.effects.items()},
+            }
+        super().step(table, thing, word)
+
+
+class Doubler(Swapped):
+    """Sends again whatever failed."""
+
+    effects = {(OUT, "unsettled"): Gatekeeper.submit}
+
+
+class Pusher(Gatekeeper):
+    """Sends all to the worker that started last, however cold."""
+
+    def pick(self, h: Held) -> Worker | None:
+        rest = [w for w in self.around if w not in h.tried]
+        return max(rest, key=born) if rest else None
+
+
+def born(w: Worker) -> float:
+    return w.born or 0.0
+
+
+class Passer(Gatekeeper):
+    """Lets all pass."""
+
+    def lacks(self, h: Held) -> float:
+        return 0.0
+
+
+def decline(keeper: Gatekeeper, h: Held) -> None:
+    keeper.acts.append(api.Decline(h.txn, 10.0))
+    keeper.forget(h)
+
+
+class Decliner(Swapped):
+    """Says that trying again is harmless, whatever may have run."""
+
+    effects = {(OUT, "no worker"): decline}
+
+
+class Deaf(Gate):
+    """Takes draining workers for ready ones."""
+
+    def heed(self, told: dict[str, Any]) -> api.Listed:
+        rows = [{**row, "lifecycle": "up"} for row in told["instances"]]
+        return super().heed({**told, "instances": rows, "reset": False})
+
+
+class Loser(Gate):
+    """Forgets to answer now and then."""
+
+    def reply(self, reply: Reply) -> None:
+        if reply.txn % 20:
+            super().reply(reply)
+        else:
+            self.txns.pop(self.tries.pop(reply.txn).name)
+
+
+class Mixer(Gate):
+    """Serves a client with the answer made for another."""
+
+    last = ""
+
+    def ended(self, key: tuple[int, int], end: End, units: float = 0.0, mark: str = "") -> None:
+        mark, self.last = (self.last or mark, mark) if end is End.SETTLED else (mark, self.last)
+        super().ended(key, end, units, mark)
