--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -340,7 +340,7 @@
         self.step(MODE_TABLE, self.counter, word)
 
     def take_back(self, h: Held, amount: float, level: float) -> None:
-        """Guards the others: what went beyond a quota took nothing from the store, nor may the count keep it."""
+        """Guards the others: what goes beyond a quota takes nothing from the store, so the count loses it."""
         a, c = h.account, h.rank
         beyond = min(math.floor(amount), math.floor(level - a.plan.quota))
         if beyond >= 1 and self.add(h, -beyond):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -69,9 +69,9 @@
         self.same(s, "putright")
 
     def test_what_was_told_beyond_the_quota_is_taken_back(self) -> None:
-        """Guards the others: beyond a quota nothing leaves the store, and they would decline what it holds."""
+        """Guards the others: beyond a quota nothing leaves the store; they would decline what it holds."""
         s = Stage(held=True)
-        s.note("too little time to be held; others took 18 of 20 units, 0.2 filled: of its 6, 3 whole ones are beyond")
+        s.note("too late to be held; others took 18 of 20 units, 0.2 filled: of its 6, 3 are beyond")
         s.txn(1, 6.0, left=2000.0)
         s.total(24.0)
         s.total(20.0)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -211,7 +211,7 @@
         of = day(
             'kind = "restart"; at_s = 0.5; part = 0.5',
             'kind = "list moves"; at_s = 0.7',
-            'kind = "kill"; at_s = 1.5; part = 0.5',
+            'kind = "kill"; at_s = 2.5; part = 1',
             'kind = "replace"; at_s = 1; worker = 0',
             'kind = "counter silent"; at_s = 1; for_s = 0.5',
             'kind = "zone cut"; at_s = 2; zone = "b"; for_s = 0.5',
