--- a/drumgw/lab/figures.py
+++ b/drumgw/lab/figures.py
@@ -12,7 +12,7 @@
 from drumgw.lab.record import Record
 
 LONGEST_MS, DIGITS = 600_000, 3
-WINDOW_S = 5.0
+WINDOWS = 12            # that a day is told in, each a whole second at least
 LATE_SHARE = 0.01  # of arrivals that the lab may send late; beyond it the run is invalid
 Row = dict[str, Any]
 
@@ -105,10 +105,11 @@
         Tally(),
         {name: defaultdict[str, Tally](Tally) for name in ("product", "plan", "zone", "time")},
     )
+    wide = window_s(day)
     start = next((row["t"] for row in record.rows if row["what"] == "begins"), 0.0)
     for row, end, value, earned, took in orders.each():
         zone = day.fleet.zones[orders.gates.get(row["order"], 0) % len(day.fleet.zones)]
-        window = int((row["intended"] - start) / 1000.0 / WINDOW_S) * WINDOW_S
+        window = int((row["intended"] - start) / 1000.0 / wide) * wide
         for tally in (
             whole,
             parts["product"][row["product"]],
@@ -139,6 +140,10 @@
     }
 
 
+def window_s(day: Day) -> int:
+    return max(1, round(day.seconds / WINDOWS))
+
+
 def load(record: Record, day: Day) -> dict[str, Any]:
     """Submissions by worker and gatekeeper, what workers did, calls to the counter."""
     workers, gates, hows = Counter[str](), Counter[int](), Counter[str]()
--- a/drumgw/lab/plots.py
+++ b/drumgw/lab/plots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from itertools import pairwise
 from typing import Any
 
 import matplotlib
@@ -20,16 +21,17 @@
     figure, (upper, lower) = pyplot.subplots(2, 1, sharex=True, figsize=(8, 6), layout="constrained")
     windows = sorted({w for run in runs for w in run["by time"]})
     at = [float(w.split()[0]) for w in windows]
+    wide = min((b - a for a, b in pairwise(at)), default=1.0)
     base = [0.0] * len(at)
     for end, colour in zip(ENDS, COLOURS, strict=True):
         counts = [sum(run["by time"].get(w, {}).get(end, 0) for run in runs) / len(runs) for w in windows]
-        upper.bar(at, counts, bottom=base, width=4.5, align="edge", color=colour, label=end)
+        upper.bar(at, counts, bottom=base, width=0.9 * wide, align="edge", color=colour, label=end)
         base = [b + c for b, c in zip(base, counts, strict=True)]
     upper.set_ylabel("orders")
-    upper.legend(ncols=6, fontsize="small", loc="upper right")
+    upper.legend(ncols=6, fontsize="small", loc="lower center", bbox_to_anchor=(0.5, 1.0))
     for run in runs:
         served = [run["by time"].get(w, {}).get("served") for w in windows]
-        lower.plot([a + 2.25 for a in at], served, marker=".", label=f"seed {run['seed']}")
+        lower.plot([a + 0.45 * wide for a in at], served, marker=".", label=f"seed {run['seed']}")
     lower.set_ylim(0, 1.02)
     lower.set_ylabel("value served")
     lower.set_xlabel("seconds of the day")
