--- a/drumgw/cli/__main__.py
+++ b/drumgw/cli/__main__.py
@@ -50,10 +50,22 @@
 @main.command()
 @click.argument("config", type=click.Path(dir_okay=False))
 @click.option("--show", is_flag=True, help="Print the configuration that it makes, as JSON.")
-def check(config: str, show: bool) -> None:
-    """Check CONFIG, an operator's file: every mistake in it, each on a line with the path to its key."""
+@click.option(
+    "--lost",
+    type=click.FloatRange(0, 86400),
+    default=10.0,
+    show_default=True,
+    help="Seconds for which the counter is lost, for the bounds on quotas.",
+)
+@click.option("--set", "spread", type=click.IntRange(1), help="Gatekeepers of a customer.  [default: all]")
+def check(config: str, show: bool, lost: float, spread: int | None) -> None:
+    """Check CONFIG, an operator's file: every mistake in it, each on a line with the path to its key.
+
+    Of a usable one it says how far quotas can be passed while the counter is lost.
+    """
     import json
 
+    from drumgw.papers.bounds import bound, said
     from drumgw.papers.office import configuration, read_office
     from drumgw.terms import BadTerms, read_terms
 
@@ -71,6 +83,11 @@
             f"{config}: usable: {g.name} at {g.listen}, {len(office.product)} product(s), "
             f"{len(office.plan)} plan(s), {g.gatekeepers} gatekeeper(s)"
         )
+        if g.counter is not None:
+            gates = min(spread or g.gatekeepers, g.gatekeepers)
+            for plan in office.plan:
+                if (b := bound(plan, gates, lost)) is not None:
+                    click.echo(said(b, gates, lost))
 
 
 @main.group()
--- a/drumgw/lab/figures.py
+++ b/drumgw/lab/figures.py
@@ -10,9 +10,10 @@
 from drumgw.lab.day import Day
 from drumgw.lab.judge import judge
 from drumgw.lab.record import Record
+from drumgw.papers.bounds import bound
 
 LONGEST_MS, DIGITS = 600_000, 3
-WINDOWS = 12            # that a day is told in, each a whole second at least
+WINDOWS = 12  # that a day is told in, each a whole second at least
 LATE_SHARE = 0.01  # of arrivals that the lab may send late; beyond it the run is invalid
 Row = dict[str, Any]
 
@@ -137,6 +138,7 @@
         **{f"by {name}": {k: t.figures() for k, t in sorted(found.items())} for name, found in parts.items()},
         **load(record, day),
         "beyond quotas": beyond(record, day),
+        "while the counter was lost": lost_shares(record, day),
     }
 
 
@@ -196,3 +198,55 @@
         name: {"units": sent[name], "beyond": over[name], "share": round(over[name] / sent[name], 4)}
         for name in sorted(sent)
     }
+
+
+def sent_while_lost(record: Record, day: Day) -> list[Row]:
+    """For each customer and loss of the counter: units sent on, quota, declared bound."""
+    plans, asked = {p.name: p for p in day.plan}, dict[str, Row]()
+    spans, begun = list[tuple[float, float]](), dict[int, float]()
+    for row in record.rows:
+        if row["what"] == "trouble" and row["kind"] in ("counter silent", "counter refuses"):
+            begun[row["number"]] = row["t"]
+        elif row["what"] == "trouble over" and row["number"] in begun:
+            spans.append((begun.pop(row["number"]), row["t"]))
+    found = []
+    for since, until in spans:
+        sent = Counter[tuple[int, str]]()
+        gates = defaultdict[int, set[int]](set)
+        for row in record.rows:
+            if row["what"] == "asked":
+                asked[row["txn"]] = row
+            elif (
+                row["what"] == "came" and (one := asked.pop(row["txn"], None)) and since <= row["t"] <= until
+            ):
+                sent[one["customer"], one["plan"]] += one["units"]
+                gates[one["customer"]].add(one["gate"])
+        asked.clear()
+        seconds = (until - since) / 1000.0
+        widths = {c.plan: c.gatekeepers for c in day.customers}
+        for (customer, name), units in sorted(sent.items()):
+            plan = plans[name]
+            if (b := bound(plan, widths[name], seconds)) is not None:
+                found.append(
+                    {
+                        "customer": customer,
+                        "plan": name,
+                        "seconds": seconds,
+                        "sent": units,
+                        "quota": b.quota,
+                        "bound": b.sent,
+                        "share": round(units / b.sent, 4),
+                    }
+                )
+    return found
+
+
+def lost_shares(record: Record, day: Day) -> dict[str, Any]:
+    """By plan: customers seen then, and the largest share of bound and quota that one of them sent."""
+    found: dict[str, Any] = {}
+    for row in sent_while_lost(record, day):
+        plan = found.setdefault(row["plan"], {"customers": 0, "of bound": 0.0, "of quota": 0.0})
+        plan["customers"] += 1
+        plan["of bound"] = max(plan["of bound"], row["share"])
+        plan["of quota"] = max(plan["of quota"], round(row["sent"] / row["quota"], 4))
+    return found
--- a/drumgw/lab/report.py
+++ b/drumgw/lab/report.py
@@ -71,6 +71,12 @@
     for plan in sorted({p for run in runs for p in run["beyond quotas"]}):
         shares = [run["beyond quotas"][plan]["share"] for run in runs if plan in run["beyond quotas"]]
         lines.append(f"  units beyond quotas, {plan}: {spread(shares)} of those sent on")
+    for plan in sorted({p for run in runs for p in run["while the counter was lost"]}):
+        rows = [run["while the counter was lost"].get(plan, {}) for run in runs]
+        lines.append(
+            f"  counter lost, {plan}: a customer sent {cell(rows, 'of bound')} of the declared bound at most, "
+            f"{cell(rows, 'of quota')} of its quota"
+        )
     for name in ("by worker", "by gatekeeper"):
         counts = [n for run in runs for n in run[name].values()]
         if counts:
--- a/drumgw/lab/virtual.py
+++ b/drumgw/lab/virtual.py
@@ -344,7 +344,7 @@
 class Virtual:
     """All gatekeepers of the day, and how tries reach them."""
 
-    gate_kind: type[Gate] = Gate        # tests put broken ones in its place
+    gate_kind: type[Gate] = Gate  # tests put broken ones in its place
 
     def __init__(
         self, day: Day, seed: int, make: MakeKeeper = Gatekeeper, record: Record | None = None
--- a/tests/labour.py
+++ b/tests/labour.py
@@ -18,6 +18,7 @@
 version = 1
 name = "short"
 seconds = {seconds}
+units_spread = {units_spread}
 [fleet]
 gatekeepers = {gatekeepers}
 workers = {workers}
@@ -94,6 +95,7 @@
     "cold_ms": 3000,
     "fall_multiple": 4,
     "use": 0.4,
+    "units_spread": 0.4,
 }
 
 
