--- a/drumgw/lab/judge.py
+++ b/drumgw/lab/judge.py
@@ -199,7 +199,6 @@
     rules = bench.day.rules
     cold: dict[str, tuple[float, float]] = {}  # worker: started, work it can do in a ms when warm
     came: dict[str, deque[Row]] = {}
-    told: set[tuple[int, str]] = set()
     known: dict[str, set[int]] = defaultdict(set)  # who was told of this start
     for row in bench.rows:
         what = row["what"]
@@ -210,7 +209,6 @@
             started, _ = cold[row["worker"]]
             if row["born"] >= started - 1:
                 known[row["worker"]].add(row["gate"])
-                told.add((row["gate"], row["worker"]))
         elif what == "came" and row["worker"] in cold:
             if breach := press(row, cold[row["worker"]], came[row["worker"]], known[row["worker"]], rules):
                 yield breach
--- a/drumgw/lab/sockets.py
+++ b/drumgw/lab/sockets.py
@@ -21,7 +21,7 @@
 from drumgw.lab.day import Day
 from drumgw.lab.record import Record
 from drumgw.lab.servers import CounterLine, RegistryLine, WorkerLine
-from drumgw.lab.wires import Asker, Messages, answer, headers
+from drumgw.lab.wires import Asker, headers
 from drumgw.lab.worker import Worker
 from drumgw.lab.world import World
 
@@ -375,5 +375,3 @@
         lines.append("Content-Length: 0")
     return "\r\n".join([*lines, "", ""]).encode()
 
-
-__all__ = ["CannotRun", "Messages", "Sockets", "answer"]
