Laboratory: one piece of code where two did the same

A submission's sighting was written in three places (now Worker.sight); four ways of setting ills and putting them back (now put); the three lines of stand-ins repeated their start and clock (now Line); the last sightings, the whole list, the begin of a drain, a breach's text and the columns of a report each stood twice; the time a gatekeeper serves on after SIGTERM and what counts as late were copied from the gate (now imported); sockets replaced methods of a worker (now it has two hooks). An unused constant, argument, field and figure are gone. One difference: two troubles of the list that overlap put back what each found, where the first to end used to end both. Gate and module are not touched.

--- a/drumgw/cli/__main__.py
+++ b/drumgw/cli/__main__.py
@@ -145,7 +145,7 @@
     from drumgw.lab.report import as_json, beside, read_run, text
 
     try:
-        found, others = [read_run(r)[0] for r in runs], [read_run(r)[0] for r in against]
+        found, others = [read_run(r) for r in runs], [read_run(r) for r in against]
     except (Unusable, BadRecord) as bad:
         refuse(bad)
     if as_text:
--- a/drumgw/lab/book.py
+++ b/drumgw/lab/book.py
@@ -10,8 +10,6 @@
 from drumgw.lab.day import Customers, Day
 from drumgw.papers.parts import Plan, Product
 
-GOLDEN = 0.618
-
 
 class Customer(NamedTuple):
     number: int
--- a/drumgw/lab/clients.py
+++ b/drumgw/lab/clients.py
@@ -13,6 +13,7 @@
 from drumgw.papers.parts import Product
 
 STAYS_MS = 500.0  # a client listens so long beyond its time; an answer in that time earns nothing
+TERM_SEEN_MS = 300.0  # until the front sends no more clients to a gatekeeper told to end
 LATE_MS = 20.0  # sent later than intended by more than this: the lab could not keep up
 
 
--- a/drumgw/lab/figures.py
+++ b/drumgw/lab/figures.py
@@ -136,7 +136,7 @@
         "breaches": [b._asdict() for b in breaches],
         "whole": whole.figures(),
         **{f"by {name}": {k: t.figures() for k, t in sorted(found.items())} for name, found in parts.items()},
-        **load(record, day),
+        **load(record),
         "beyond quotas": beyond(record, day),
         "while the counter was lost": lost_shares(record, day),
     }
@@ -146,7 +146,7 @@
     return max(1, round(day.seconds / WINDOWS))
 
 
-def load(record: Record, day: Day) -> dict[str, Any]:
+def load(record: Record) -> dict[str, Any]:
     """Submissions by worker and gatekeeper, what workers did, calls to the counter."""
     workers, gates, hows = Counter[str](), Counter[int](), Counter[str]()
     tries = calls = faults = 0
@@ -212,7 +212,6 @@
     found = []
     for since, until in spans:
         sent = Counter[tuple[int, str]]()
-        gates = defaultdict[int, set[int]](set)
         for row in record.rows:
             if row["what"] == "asked":
                 asked[row["txn"]] = row
@@ -220,7 +219,6 @@
                 row["what"] == "came" and (one := asked.pop(row["txn"], None)) and since <= row["t"] <= until
             ):
                 sent[one["customer"], one["plan"]] += one["units"]
-                gates[one["customer"]].add(one["gate"])
         asked.clear()
         seconds = (until - since) / 1000.0
         widths = {c.plan: c.gatekeepers for c in day.customers}
--- a/drumgw/lab/judge.py
+++ b/drumgw/lab/judge.py
@@ -29,7 +29,7 @@
 
     def __str__(self) -> str:
         gates = ", ".join(f"n{g}" for g in self.gates) or "none"
-        return f"{self.rule} at {self.t:.0f} ms: {self.what} (txn {self.txn or '-'}, gatekeepers {gates})"
+        return f"{self.rule} at {self.t:.0f} ms, txn {self.txn or '-'}, gatekeepers {gates}: {self.what}"
 
 
 class Case:
--- a/drumgw/lab/registry.py
+++ b/drumgw/lab/registry.py
@@ -80,12 +80,10 @@
             return None
         oldest = self.changes[0][0] if self.changes else 0
         if since is None or since < oldest - 1:
-            told = {"generation": seen, "reset": True, "instances": list(self.rows.values())}
-        else:
-            names = list(dict.fromkeys(n for g, n in self.changes if since < g <= seen))
-            rows = [self.rows.get(n) or self.gone[n] for n in names]
-            told = {"generation": seen, "reset": False, "instances": rows}
-        return told
+            return {**self.whole(), "generation": seen}
+        names = list(dict.fromkeys(n for g, n in self.changes if since < g <= seen))
+        rows = [self.rows.get(n) or self.gone[n] for n in names]
+        return {"generation": seen, "reset": False, "instances": rows}
 
     def note(self, gate: int, told: dict[str, Any]) -> None:
         """It was written to the gatekeeper: from now on that binds."""
--- a/drumgw/lab/report.py
+++ b/drumgw/lab/report.py
@@ -7,8 +7,9 @@
 import pathlib
 from typing import Any
 
-from drumgw.lab.day import Day, read_day
+from drumgw.lab.day import read_day
 from drumgw.lab.figures import figures
+from drumgw.lab.judge import Breach
 from drumgw.lab.record import read_record
 
 Figures = dict[str, Any]
@@ -26,11 +27,11 @@
 )
 
 
-def read_run(folder: str) -> tuple[Figures, Day]:
+def read_run(folder: str) -> Figures:
     """A run's folder holds its day and its record."""
     place = pathlib.Path(folder)
     day = read_day(str(place / "day.toml"))
-    return figures(read_record(str(place / "record.jsonl")), day), day
+    return figures(read_record(str(place / "record.jsonl")), day)
 
 
 def spread(values: list[float]) -> str:
@@ -92,11 +93,7 @@
     lines = []
     for run in runs:
         for b in run["breaches"][:20]:
-            gates = ", ".join(f"n{g}" for g in b["gates"]) or "none"
-            lines.append(
-                f"BROKEN (seed {run['seed']}): {b['rule']} at {b['t']:.0f} ms, txn {b['txn'] or '-'}, "
-                f"gatekeepers {gates}: {b['what']}"
-            )
+            lines.append(f"BROKEN (seed {run['seed']}): {Breach(**b)}")
         if len(run["breaches"]) > 20:
             lines.append(f"BROKEN (seed {run['seed']}): and {len(run['breaches']) - 20} more")
     return lines or ["rules kept"]
@@ -118,17 +115,7 @@
 
 def measures(run: Figures) -> list[tuple[str, Any]]:
     found: list[tuple[str, Any]] = []
-    for column in (
-        "served",
-        "in time",
-        "late",
-        "declined",
-        "voided",
-        "unreached",
-        "lost",
-        "p50_ms",
-        "p99_ms",
-    ):
+    for column in COLUMNS[1:]:
         found.append((f"whole, {column}", lambda r, c=column: r["whole"].get(c)))
     for part in ("by product", "by plan"):
         for name in run[part]:
--- a/drumgw/lab/servers.py
+++ b/drumgw/lab/servers.py
@@ -17,18 +17,26 @@
 NOISE = b"\x00\x01spoilt\xff\r\n\r\n"
 
 
-class WorkerLine(Messages):
-    """A connection to a worker; one submission at a time."""
+class Line(Messages):
+    """A gatekeeper's connection to a stand-in."""
 
-    def __init__(self, lab: Sockets, worker: Worker, gate: int) -> None:
+    def __init__(self, lab: Sockets, gate: int) -> None:
         super().__init__()
-        self.lab, self.worker, self.gate = lab, worker, gate
-        self.ticket: Ticket | None = None
-        self.held = False
+        self.lab, self.gate = lab, gate
 
     def clock(self) -> float:
         return self.lab.clock.now()
 
+
+class WorkerLine(Line):
+    """A connection to a worker; one submission at a time."""
+
+    def __init__(self, lab: Sockets, worker: Worker, gate: int) -> None:
+        super().__init__(lab, gate)
+        self.worker = worker
+        self.ticket: Ticket | None = None
+        self.held = False
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.held = self.worker.takes(self.gate)
@@ -48,28 +56,10 @@
         asked = world.clients.works.get(name)
         self.ticket = Ticket(world.ticket(), name, asked, self.gate, self.told)
         if asked is None:
-            world.record.add(
-                self.clock(),
-                "came",
-                txn=name,
-                ticket=self.ticket.number,
-                worker=self.worker.name,
-                gate=self.gate,
-                first=round(first_at, 3),
-                work=0.0,
-            )
+            self.worker.sight(self.ticket, first_at)
             self.write(answer(400 if name else 404))
         elif not self.held:
-            self.worker.record.add(
-                self.clock(),
-                "came",
-                txn=name,
-                ticket=self.ticket.number,
-                gate=self.gate,
-                worker=self.worker.name,
-                first=round(first_at, 3),
-                work=0.0,
-            )
+            self.worker.sight(self.ticket, first_at)
             self.worker.end(self.ticket, "full", ran=False)
         else:
             self.worker.come(self.ticket, first_at)
@@ -97,18 +87,12 @@
             self.abort()
 
 
-class CounterLine(Messages):
+class CounterLine(Line):
     """Calls may be written one behind another; answers come in their order."""
 
     def __init__(self, lab: Sockets, gate: int) -> None:
-        super().__init__()
-        self.lab, self.gate, self.turns = lab, gate, Turns(self.write)
-
-    def clock(self) -> float:
-        return self.lab.clock.now()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
+        super().__init__(lab, gate)
+        self.turns = Turns(self.write)
 
     def message(self, head: bytes, body: bytes, first_at: float) -> None:
         ready, counter = self.turns.take(), self.lab.world.counter
@@ -141,13 +125,8 @@
     return (name, amount, lives) if fits and math.isfinite(amount) and math.isfinite(lives) else None
 
 
-class RegistryLine(Messages):
-    def __init__(self, lab: Sockets, gate: int) -> None:
-        super().__init__()
-        self.lab, self.gate = lab, gate
-
-    def clock(self) -> float:
-        return self.lab.clock.now()
+class RegistryLine(Line):
+    """The agent: lists and watches."""
 
     def message(self, head: bytes, body: bytes, first_at: float) -> None:
         target = head.split(b" ", 2)[1].decode("latin-1")
--- a/drumgw/lab/sockets.py
+++ b/drumgw/lab/sockets.py
@@ -16,7 +16,7 @@
 from functools import partial
 from typing import Any
 
-from drumgw.lab.clients import Try
+from drumgw.lab.clients import TERM_SEEN_MS, Try
 from drumgw.lab.clocks import LoopClock
 from drumgw.lab.day import Day
 from drumgw.lab.record import Record
@@ -129,7 +129,7 @@
         killed = number is signal.SIGKILL
         lab.record.add(lab.clock.now(), "gate", gate=self.number, state="killed" if killed else "told to end")
         self.send(number)
-        notices = lab.day.fleet.front_notices_ms if killed else 300.0
+        notices = lab.day.fleet.front_notices_ms if killed else TERM_SEEN_MS
         lab.clock.at(lab.clock.now() + notices, partial(self.notice, process))
         try:
             async with asyncio.timeout((lab.longest_ms + KILL_MS + 500.0) / 1000.0):
@@ -181,10 +181,7 @@
             await self.open()
             self.world.begin()
             await asyncio.sleep((self.world.ends_at() - self.clock.now()) / 1000.0)
-            counter, clients = self.world.counter, self.world.clients
-            if counter is not None:
-                self.record.add(self.clock.now(), "counter", calls=counter.calls)
-            self.record.add(self.clock.now(), "ends", sent=clients.sent, late=clients.late)
+            self.world.end()
             return self.record
         finally:
             await self.close()
@@ -200,7 +197,7 @@
         await asyncio.gather(*(keeper.start() for keeper in self.keepers))
         if not all(keeper.ready for keeper in self.keepers):
             raise CannotRun(
-                "a gatekeeper was not ready in time; its log and its configuration are in " f"{self.folder}"
+                f"a gatekeeper was not ready in time; its log and its configuration are in {self.folder}"
             )
 
     async def settle(self, keeper: Keeper) -> None:
@@ -230,20 +227,15 @@
 
     def mind(self, worker: Worker) -> None:
         """Its machine refuses connections while its process is down."""
-        down, back = worker.down, worker.back
 
-        def goes_down(for_ms: float | None) -> None:
+        def goes_down() -> None:
             for server in self.listening.pop(worker.name, []):
                 server.close()
-            down(for_ms)
             for line in [x for x in self.worker_lines if x.worker is worker]:
                 line.abort()
 
-        def comes_back() -> None:
-            back()
-            self.spawn(self.listen(worker))
-
-        worker.down, worker.back = goes_down, comes_back  # type: ignore[method-assign]
+        worker.went_down = goes_down
+        worker.came_back = lambda: self.spawn(self.listen(worker))
 
     def address(self, gate: int, name: str) -> str:
         """Of a worker, for a gatekeeper; a new worker listens before anyone is told of it."""
@@ -374,4 +366,3 @@
     if method == "POST":
         lines.append("Content-Length: 0")
     return "\r\n".join([*lines, "", ""]).encode()
-
--- a/drumgw/lab/virtual.py
+++ b/drumgw/lab/virtual.py
@@ -12,10 +12,12 @@
 
 from drumgw import interface as api
 from drumgw.control import Gatekeeper
+from drumgw.gate.clock import LATE_MS
 from drumgw.gate.core import Alarm, Core, Effect, Fault, Keeper, Reply, Send, Stop
+from drumgw.gate.gateway import LINGER_MS
 from drumgw.gate.roster import STATES, worker_id
 from drumgw.interface import End, Health
-from drumgw.lab.clients import Try
+from drumgw.lab.clients import TERM_SEEN_MS, Try
 from drumgw.lab.clocks import Handle, VirtualClock
 from drumgw.lab.day import Day
 from drumgw.lab.record import Record
@@ -24,7 +26,6 @@
 from drumgw.terms import read_terms
 
 START_MS = 1_700_000_000_000.0  # of Unix time; any will do, but each run the same
-LINGER_MS = 700.0  # a gatekeeper that was told to end serves on for so long
 READY_MS = 300.0  # from its start until it takes clients
 ENDS = {
     "settled": End.SETTLED,
@@ -167,7 +168,7 @@
 
     def take(self, one: Try) -> None:
         a, now = one.order.arrival, self.clock.now()
-        waited = now - one.sent_at if now - one.sent_at > 20.0 else 0.0  # read late, after a stall
+        waited = now - one.sent_at if now - one.sent_at > LATE_MS else 0.0  # read late, after a stall
         asked = api.Txn(
             0,
             one.left_ms,
@@ -364,9 +365,7 @@
         self.clock.run(START_MS + READY_MS)
         self.world.begin()
         self.clock.run(self.world.ends_at())
-        if self.world.counter is not None:
-            self.record.add(self.clock.now(), "counter", calls=self.world.counter.calls)
-        self.record.add(self.clock.now(), "ends", sent=self.world.clients.sent, late=self.world.clients.late)
+        self.world.end()
         return self.record
 
     def new(self, number: int) -> Gate:
@@ -376,9 +375,9 @@
     # The clients' port
 
     def send(self, one: Try) -> None:
-        self.clock.at(self.clock.now() + self.day.fleet.client_ms, partial(self.reach, one, self.clock.now()))
+        self.clock.at(self.clock.now() + self.day.fleet.client_ms, partial(self.reach, one))
 
-    def reach(self, one: Try, _sent: float) -> None:
+    def reach(self, one: Try) -> None:
         gate = self.gates[one.gate]
         if one.over:
             return
@@ -404,7 +403,7 @@
             return
         gate.closing = True
         self.record.add(self.clock.now(), "gate", gate=number, state="told to end")
-        self.clock.at(self.clock.now() + 300.0, lambda: self.world.clients.front(number, False))
+        self.clock.at(self.clock.now() + TERM_SEEN_MS, lambda: self.world.clients.front(number, False))
         self.clock.at(self.clock.now() + LINGER_MS, partial(self.finish, gate))
 
     def finish(self, gate: Gate) -> None:
--- a/drumgw/lab/worker.py
+++ b/drumgw/lab/worker.py
@@ -66,6 +66,9 @@
         return known
 
 
+def nothing() -> None: ...
+
+
 class Worker:
     def __init__(
         self,
@@ -91,6 +94,8 @@
         self.lines: dict[int, int] = {}  # connections by gatekeeper; emptied as they close
         self.lately: deque[tuple[float, float]] = deque()  # work that came within the falling time
         self.service_ms = 0.0
+        self.went_down: Callable[[], None] = nothing  # what its machine does then, where it is on sockets
+        self.came_back: Callable[[], None] = nothing
         record.add(
             clock.now(),
             "worker",
@@ -131,16 +136,7 @@
         now, asked = self.clock.now(), ticket.asked
         ticket.worker = self
         work = asked.work_ms if asked else 0.0
-        self.record.add(
-            now,
-            "came",
-            txn=ticket.name,
-            ticket=ticket.number,
-            worker=self.name,
-            gate=ticket.gate,
-            first=round(now if first_ms is None else first_ms, 3),
-            work=round(work, 3),
-        )
+        self.sight(ticket, now if first_ms is None else first_ms, work)
         if not self.up:
             return self.end(ticket, "reset", ran=False)
         if self.press(now, work):
@@ -156,6 +152,19 @@
             return None
         return self.begin(ticket)
 
+    def sight(self, ticket: Ticket, first_ms: float, work: float = 0.0) -> None:
+        """It came whole, whatever becomes of it."""
+        self.record.add(
+            self.clock.now(),
+            "came",
+            txn=ticket.name,
+            ticket=ticket.number,
+            worker=self.name,
+            gate=ticket.gate,
+            first=round(first_ms, 3),
+            work=round(work, 3),
+        )
+
     def press(self, now: float, work: float) -> bool:
         """True where a cold worker falls over: more came within the window than it can bear."""
         warmth = self.warmth()
@@ -243,6 +252,7 @@
         self.lines.clear()
         self.drop_all()
         self.record.add(self.clock.now(), "worker", worker=self.name, state="down")
+        self.went_down()
         if for_ms is not None:
             self.clock.at(self.clock.now() + for_ms, self.back)
 
@@ -260,3 +270,4 @@
             cores=self.kind.cores,
             speed=round(self.speed, 4),
         )
+        self.came_back()
--- a/drumgw/lab/world.py
+++ b/drumgw/lab/world.py
@@ -112,6 +112,13 @@
             self.clock.at(now + trouble.at_s * 1000.0, lambda t=trouble, n=number: self.strike(t, n))  # type: ignore[misc]
         self.clients.begin()
 
+    def end(self) -> None:
+        """The last sightings: a record without them was cut off."""
+        now = self.clock.now()
+        if self.counter is not None:
+            self.record.add(now, "counter", calls=self.counter.calls)
+        self.record.add(now, "ends", sent=self.clients.sent, late=self.clients.late)
+
     def ends_at(self) -> float:
         longest = max(p.expiry_ms for p in self.day.product)
         return self.clients.start_ms + self.day.seconds * 1000.0 + longest + AFTER_MS
@@ -148,18 +155,7 @@
         return sorted(self.chance.sample(range(number), max(1, round((t.part or 0.0) * number))))
 
     def ill(self, t: Trouble, **ills: Any) -> Undo:
-        struck = self.aimed(t)
-        before = [{name: getattr(w.ills, name) for name in ills} for w in struck]
-        for w in struck:
-            for name, value in ills.items():
-                setattr(w.ills, name, value)
-
-        def undo() -> None:
-            for w, was in zip(struck, before, strict=True):
-                for name, value in was.items():
-                    setattr(w.ills, name, value)
-
-        return undo
+        return put([w.ills for w in self.aimed(t)], **ills)
 
     def fail(self, t: Trouble) -> Undo:
         struck = self.aimed(t)
@@ -202,10 +198,13 @@
             turn = int(w.name.partition(".")[2] or 0) + 1
             self.places[w.number] = self.add_worker(w.number, turn, self.clock.now()).name
 
-    def drain_one(self, w: Worker) -> None:
+    def begin_drain(self, w: Worker) -> None:
         w.draining = True
         self.record.add(self.clock.now(), "worker", worker=w.name, state="drains")
         self.registry.state(w.name, "draining")
+
+    def drain_one(self, w: Worker) -> None:
+        self.begin_drain(w)
         gone = self.day.discovery.delay_ms + self.day.discovery.spread_ms + 3000.0
         self.clock.at(self.clock.now() + gone, lambda: self.retire(w))
 
@@ -217,9 +216,7 @@
     def drain(self, t: Trouble) -> Undo | None:
         struck = self.aimed(t)
         for w in struck:
-            w.draining = True
-            self.record.add(self.clock.now(), "worker", worker=w.name, state="drains")
-            self.registry.state(w.name, "draining")
+            self.begin_drain(w)
 
         def undo() -> None:
             for w in struck:
@@ -237,18 +234,6 @@
         self.cut.add(t.zone)
         return lambda: self.cut.discard(t.zone or "")
 
-    def count(self, **ills: Any) -> Undo:
-        counter = self.counter
-        before = {name: getattr(counter, name) for name in ills}
-        for name, value in ills.items():
-            setattr(counter, name, value)
-
-        def undo() -> None:
-            for name, value in before.items():
-                setattr(counter, name, value)
-
-        return undo
-
     def split(self, _t: Trouble) -> Undo:
         assert self.counter is not None
         self.counter.split()
@@ -262,15 +247,6 @@
         assert self.counter is not None
         self.counter.older(t.size or 0.0)
 
-    def list_ill(self, **ills: Any) -> Undo:
-        for name, value in ills.items():
-            setattr(self.registry, name, value)
-
-        def undo() -> None:
-            self.registry.late_ms, self.registry.lost = 0.0, False
-
-        return undo
-
     def gates(self, t: Trouble, act: Callable[[Keepers, int], None]) -> None:
         assert self.keepers is not None
         for gate in self.some_gates(t):
@@ -280,13 +256,23 @@
         assert self.keepers is not None
         self.keepers.moves()
 
-    def leave(self, t: Trouble) -> Undo:
-        before, self.clients.leaving = self.clients.leaving, t.size or 0.0
 
-        def undo() -> None:
-            self.clients.leaving = before
+def put(things: list[Any], **values: Any) -> Undo:
+    """Sets them on each, and gives what sets them back."""
+    before = [{name: getattr(thing, name) for name in values} for thing in things]
 
-        return undo
+    def write(thing: Any, found: dict[str, Any]) -> None:
+        for name, value in found.items():
+            setattr(thing, name, value)
+
+    for thing in things:
+        write(thing, values)
+
+    def undo() -> None:
+        for thing, was in zip(things, before, strict=True):
+            write(thing, was)
+
+    return undo
 
 
 TROUBLES: dict[str, Callable[[World, Trouble], Undo | None]] = {
@@ -303,18 +289,18 @@
     "drain": World.drain,
     "zone lost": World.zone_lost,
     "zone cut": World.zone_cut,
-    "counter slow": lambda w, t: w.count(slow=t.size),
-    "counter silent": lambda w, t: w.count(silent=True),
-    "counter refuses": lambda w, t: w.count(refuses=True),
+    "counter slow": lambda w, t: put([w.counter], slow=t.size),
+    "counter silent": lambda w, t: put([w.counter], silent=True),
+    "counter refuses": lambda w, t: put([w.counter], refuses=True),
     "counter empty": World.empty,
     "counter older": World.older,
     "counter split": World.split,
-    "list late": lambda w, t: w.list_ill(late_ms=t.size),
-    "list lost": lambda w, t: w.list_ill(lost=True),
+    "list late": lambda w, t: put([w.registry], late_ms=t.size),
+    "list lost": lambda w, t: put([w.registry], lost=True),
     "list moves": World.moves,
     "restart": lambda w, t: w.gates(t, lambda keepers, gate: keepers.restart(gate)),
     "kill": lambda w, t: w.gates(t, lambda keepers, gate: keepers.kill(gate)),
     "pause": lambda w, t: w.gates(t, lambda keepers, gate: keepers.pause(gate, t.for_s * 1000.0)),
     "rush": lambda w, t: None,  # the book knows of it
-    "leave": World.leave,
+    "leave": lambda w, t: put([w.clients], leaving=t.size),
 }
