--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -125,12 +125,18 @@
         return BaseRequest(message, payload, protocol, writer, task, self.desk.loop,
                            client_max_size=MOST_BODY)
 
-    async def open(self) -> tuple[str, int]:
+    async def bind(self) -> None:
+        """Takes its place, and nobody yet: who comes is refused, as before the process began."""
         host, port = self.charter.listen
         try:
-            self.socket = await self.desk.loop.create_server(self.server, host, port, backlog=1024)
+            self.socket = await self.desk.loop.create_server(
+                self.server, host, port, backlog=1024, start_serving=False)
         except OSError as error:
             raise BadCharter(f"cannot listen at {host}:{port}: {error}") from error
+
+    async def open(self) -> tuple[str, int]:
+        assert self.socket is not None
+        await self.socket.start_serving()
         self.ready = True
         self.sweep()
         bound = self.socket.sockets[0].getsockname()
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from drumgw import interface as api
 from drumgw.control import Gatekeeper
 from drumgw.gate.charter import BadCharter, Charter
 from drumgw.gate.clock import Clock, Pulse
@@ -35,17 +36,19 @@
         self.roster = Roster(charter, self.desk, self.workers)
         self.front = Front(charter, self.desk)
         self.desk.workers, self.desk.counter = self.workers, self.counter
+        self.workers.heed(self.roster.look)
         self.term = asyncio.Event()
-        self.watching: asyncio.Task[None] | None = None
 
     async def open(self) -> tuple[str, int]:
+        """Nobody is let in before the agent has spoken: what is known at a start is old (gate/muster.py)."""
         self.pulse.beat()
-        known = self.roster.first()
-        self.desk.post(self.desk.core.start, known)
-        self.watching = asyncio.create_task(self.roster.watch())
+        self.desk.post(self.desk.core.start, api.Listed(True, ()))
+        await self.front.bind()
+        await self.roster.begin()
         place = await self.front.open()
-        logger.info("{} serves at {}:{}: {} workers known, at most {} clients and {} lines to workers",
-                    self.charter.name, *place, len(known.entries), self.charter.clients, self.charter.lines)
+        logger.info("{} serves at {}:{}: {} workers listed, at most {} clients and {} lines to workers",
+                    self.charter.name, *place, len(self.roster.muster.rows), self.charter.clients,
+                    self.charter.lines)
         return place
 
     async def close(self) -> None:
@@ -75,8 +78,6 @@
                     "{}:{}".format(*told.counter) if told.counter else "none")
 
     async def shut(self) -> None:
-        if self.watching is not None:
-            self.watching.cancel()
         for part in (self.workers, self.counter, self.roster):
             if part is not None:
                 await part.close()
@@ -87,11 +88,19 @@
     gateway, loop = Gateway(charter), asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, gateway.term.set)
     loop.add_signal_handler(signal.SIGHUP, partial(gateway.reload, again))
-    try:
-        await gateway.open()
-    except BadCharter:
+    opening, term = asyncio.create_task(gateway.open()), asyncio.create_task(gateway.term.wait())
+    await asyncio.wait((opening, term), return_when=asyncio.FIRST_COMPLETED)
+    if not opening.done():      # told to end while it waited for discovery: nobody was let in
+        opening.cancel()
+        await asyncio.wait((opening,))
+    term.cancel()
+    if opening.cancelled() or opening.exception():
         await gateway.shut()
-        raise
+    if opening.cancelled():
+        logger.info("{} ends before it served", charter.name)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        return
+    opening.result()
     if early:
         gateway.reload(again)
     gc.collect()
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
 from collections.abc import Callable
 from functools import partial
@@ -24,7 +25,8 @@
 BROKEN = (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError)
 HEAD = b"HTTP/1."
 NO_BODY = (204, 304)
-MOST_CHUNKS = 64 * MOST_BODY    # above what one read brings, so that aiohttp never pauses a connection
+MOST_CHUNKS = 64    # bodies; above what one read brings, so that aiohttp never pauses a connection
+ONE_READ = 256 * 1024
 Answer = tuple[RawResponseMessage, bytes]
 
 
@@ -45,7 +47,7 @@
         self.heard: Callable[[Answer], None] | None = None  # set by who uses it; so is lost
         self.lost: Callable[[BaseException], None] | None = None
         self.timer: Timer | None = None
-        self.heads = HttpResponseParser(self, loop, MOST_BODY, response_with_body=False,
+        self.heads = HttpResponseParser(self, loop, lines.most_body, response_with_body=False,
                                         auto_decompress=False)
         self.poll = select.poll()
 
@@ -63,6 +65,18 @@
         self.transport.write(request)
         self.owed += 1
 
+    def look(self) -> None:
+        """Reads what lies unread, before the loop's turn comes. An end or a failure is the loop's to find."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or not self.poll.poll(0):
+            return
+        try:
+            data = os.read(transport.get_extra_info("socket").fileno(), ONE_READ)
+        except OSError:
+            return
+        if data:
+            self.data_received(data)
+
     def data_received(self, data: bytes) -> None:
         self.got = self.got + data if self.got else data
         try:
@@ -94,7 +108,7 @@
             if not self.read_chunks(self.chunks, self.body):
                 return False
         elif self.length is None or len(self.got) < self.length:
-            if len(self.got) > MOST_BODY:
+            if len(self.got) > self.lines.most_body:
                 raise Spoilt("a body without end")
             return False
         else:
@@ -116,9 +130,10 @@
         if message.code in NO_BODY:
             self.length = 0
         elif message.chunked:
-            self.chunks = HttpResponseParser(self, self._loop, MOST_CHUNKS, auto_decompress=False)
+            self.chunks = HttpResponseParser(
+                self, self._loop, MOST_CHUNKS * self.lines.most_body, auto_decompress=False)
             self.body = self.chunks.feed_data(head)[0][0][1]
-        elif self.length is None and not message.should_close or (self.length or 0) > MOST_BODY:
+        elif self.length is None and not message.should_close or (self.length or 0) > self.lines.most_body:
             raise Spoilt(f"a body of {said} bytes")
         if message.should_close or self.length is None and self.chunks is None:
             self.force_close()
@@ -133,7 +148,7 @@
             if not body.is_eof():
                 raise
             self.force_close()      # noise behind the last chunk
-        if body.total_bytes > MOST_BODY:
+        if body.total_bytes > self.lines.most_body:
             raise Spoilt("a body without end")
         if not body.is_eof():
             return False
@@ -197,7 +212,10 @@
 class Lines:
     """The connections to one kind of peer: so many at most, none kept idle for longer than told."""
 
-    def __init__(self, most: int, idle_ms: float, connect_ms: float | None, pulse: Pulse) -> None:
+    def __init__(self, most: int, idle_ms: float, connect_ms: float | None, pulse: Pulse,
+                 most_body: int = MOST_BODY) -> None:
+        self.most_body = most_body
+        self.before: Callable[[], None] = no_need   # called before a first byte; may give up its trip
         seconds = connect_ms / 1000.0 if connect_ms else None
         self.loop, self.pulse, self.most, self.packet_ms = pulse.loop, pulse, most, connect_ms
         self.patience = aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
@@ -232,6 +250,9 @@
     async def ask(self, card: aiohttp.ClientRequest, request: bytes, trip: Trip) -> Answer:
         """The whole answer. Where it raises or is cancelled, the connection is closed."""
         trip.connection, wire = await self.connect(card)
+        self.before()
+        if trip.connection is None:     # given up just now, and cancelled
+            raise asyncio.CancelledError
         answer: asyncio.Future[Answer] = self.loop.create_future()
         wire.heard, wire.lost = partial(settle, answer), partial(fail, answer)
         try:
@@ -255,6 +276,9 @@
         await self.connector.close()
 
 
+def no_need() -> None: ...
+
+
 def settle(future: asyncio.Future[Answer], answer: Answer) -> None:
     if not future.done():
         future.set_result(answer)
--- /dev/null
+++ b/drumgw/gate/muster.py
@@ -0,0 +1,223 @@
+"""Which word on the workers may be acted on: one rule for all starts and lists. No I/O, no clock.
+
+1. What the agent has counts as told from a process's first moment (the fleet's page), so what is known
+   at a start is old: until the agent has spoken nobody is let in and nothing is sent. Only where it says
+   nothing for SILENT_START_MS does the known list stand in, until it speaks.
+2. Its lists are taken in the order of their generations. An older one undoes nothing: of it only leaving
+   workers and later starts are heeded. One that is older for RENUMBERED_MS is a numbering begun anew.
+3. A row says that a worker leaves by its id and lifecycle alone. One that can't be read changes nothing,
+   so the last that could stands; a list of none but such rows is no list.
+4. In silence the last list stands. After SIGHUP all this goes on with the new agent.
+5. Nothing is sent while a word of the agent's has lain unread for LOOK_MS (gate/roster.py).
+"""
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Callable
+from math import inf, isfinite
+from typing import Any, NamedTuple
+
+from drumgw import interface as api
+from drumgw.interface import Health
+from drumgw.terms import Names
+
+SILENT_START_MS = 20000.0   # ready within 30 s (the fleet's page), less a third for a slow start
+RENUMBERED_MS = 6000.0      # what discovery has to tell counts as told by then (the protocol's figure)
+MOST_NAME = 256             # characters of an id
+STATES = {"up": Health.READY, "draining": Health.DRAINING, "removed": Health.GONE}
+ADDRESS = re.compile(r"[0-9A-Za-z._:\[\]-]{1,256}:[0-9]{1,5}")
+UNREADABLE = (KeyError, TypeError, ValueError, ArithmeticError)
+
+WAITING, IN_STEP, BEHIND = "waiting for the agent", "in step", "the agent is behind"
+
+
+def worker_id(instance: str) -> int:
+    """The same number at every gateway: they rank the workers by it."""
+    return int.from_bytes(hashlib.blake2b(instance.encode("utf-8", "surrogatepass"), digest_size=6).digest(),
+                          "big")
+
+
+class Row(NamedTuple):
+    """What is known of a worker: its last readable row."""
+
+    entry: api.Entry
+    address: str
+    born: float     # of the start that the row speaks of; without end where a leaving row does not say
+
+
+class Change(NamedTuple):
+    """What a list changes. Those up are new, or a new start, or at a new address."""
+
+    listed: api.Listed
+    up: tuple[Row, ...]
+    told: dict[Health, list[str]]   # for the log: who is now what
+    unread: int                     # rows that could not be read
+
+
+Read = dict[str, "Row | None"]
+
+
+class Muster:
+    def __init__(self, names: Names) -> None:
+        self.names, self.state = names, WAITING
+        self.since: int | None = None       # what the next call asks from; none: for the whole list
+        self.newest: int | None = None      # the generation acted on; none: without one, or not heard yet
+        self.older_at = 0.0                 # since when the agent is behind
+        self.rows: dict[str, Row] = {}      # workers on the list; emptied by it
+
+    def stand_in(self, known: dict[str, Any]) -> Change:
+        """The known list, while the agent says nothing. Whatever the agent says first goes before it."""
+        return self.adopt(self.read(rows_of(known)), True)
+
+    def take(self, now: float, told: Any, plain: bool) -> Change:
+        """A list of the agent's; plain: the whole one was asked for. Raises what UNREADABLE names."""
+        rows, generation = rows_of(told), told.get("generation")
+        if isinstance(generation, bool) or not isinstance(generation, int) or generation < 0:
+            generation = None
+        whole = plain or bool(told.get("reset"))
+        read, word = self.read(rows), self.word(now, generation, whole)
+        if word == "older" and self.state is IN_STEP:
+            self.older_at = now
+        self.since = self.next_since(now, generation, whole)
+        self.state, effect = TABLE[self.state, word]
+        if self.state is IN_STEP:
+            self.newest = generation
+        return effect(self, read, whole)
+
+    def word(self, now: float, generation: int | None, whole: bool) -> str:
+        if not self.is_older(generation):
+            return "newer" if whole or self.state is not BEHIND else "changes"
+        return "renumbered" if whole and self.is_renumbered(now) else "older"
+
+    @property
+    def behind(self) -> bool:
+        return self.state is BEHIND
+
+    def is_older(self, generation: int | None) -> bool:
+        return generation is not None and self.newest is not None and generation < self.newest
+
+    def is_renumbered(self, now: float) -> bool:
+        return self.state is BEHIND and now - self.older_at >= RENUMBERED_MS
+
+    def next_since(self, now: float, generation: int | None, whole: bool) -> int | None:
+        """Changes since what the agent never had tell nothing; after it was behind all of its list is due."""
+        if whole or generation is None:
+            return generation
+        lacking = self.since is None or generation < self.since
+        overtaken = self.state is BEHIND and (not self.is_older(generation) or self.is_renumbered(now))
+        return None if lacking or overtaken else generation
+
+    # Effects
+
+    def adopt(self, read: Read, whole: bool) -> Change:
+        """As it stands. Who is not named in a whole list is gone; who can't be read stays what it was."""
+        changed = {name: row for name, row in read.items() if row is not None and self.rows.get(name) != row}
+        if whole:
+            changed |= {name: leaving(name, Health.GONE) for name in self.rows.keys() - read.keys()}
+        return self.change(read, changed, whole)
+
+    def heed(self, read: Read, _whole: bool) -> Change:
+        """Of an older list: who leaves, and later starts of those that are known. It undoes nothing."""
+        changed = {}
+        for name, row in read.items():
+            known = self.rows.get(name)
+            if row is None or known is None or known == row:
+                continue
+            if row.entry.health is not Health.READY or row.born > known.born:
+                changed[name] = row
+        return self.change(read, changed, False)
+
+    def change(self, read: Read, changed: dict[str, Row], whole: bool) -> Change:
+        told: dict[Health, list[str]] = {}
+        for name, row in changed.items():
+            health = row.entry.health
+            if is_news(self.rows.get(name), row):
+                told.setdefault(health, []).append(name)
+            if health is Health.GONE:
+                self.rows.pop(name, None)
+            else:
+                self.rows[name] = row
+        rows = self.rows.values() if whole else changed.values()
+        up = tuple(row for row in changed.values() if row.entry.health is Health.READY)
+        return Change(api.Listed(whole, tuple(row.entry for row in rows)), up, told,
+                      sum(row is None for row in read.values()))
+
+    # Reading
+
+    def read(self, rows: list[Any]) -> Read:
+        """By name; none where a row names a worker and can't be read. Of two the later start's counts."""
+        found: Read = {}
+        for n, row in enumerate(rows):
+            try:
+                name = row["instanceId"]
+                if not isinstance(name, str) or not 0 < len(name) <= MOST_NAME:
+                    raise ValueError("no id")
+            except UNREADABLE:
+                found[f"\x00{n}"] = None    # no name of a worker's
+                continue
+            try:
+                one = self.row(name, row)
+            except UNREADABLE:
+                found.setdefault(name, None)
+                continue
+            other = found.get(name)
+            found[name] = one if other is None else max(one, other, key=precedence)
+        if rows and not any(found.values()):
+            raise ValueError("no row of the list can be read")
+        return found
+
+    def row(self, name: str, row: dict[str, Any]) -> Row:
+        health = STATES[row["lifecycle"]]
+        if health is not Health.READY:
+            return leaving(name, health, row.get("startedAtMs"))
+        born, address = number(row["startedAtMs"]), row["hostPort"]
+        if not ADDRESS.fullmatch(address) or int(address.rpartition(":")[2]) > 65535:
+            raise ValueError("no address")
+        entry = api.Entry(worker_id(name), self.names.zone(row["zone"]), int(row["cell"]),
+                          str(row["machineType"]), health, born or None, number(row["weight"]))
+        return Row(entry, address, born)
+
+
+def rows_of(told: Any) -> list[Any]:
+    rows = told["instances"]
+    if not isinstance(rows, list):
+        raise TypeError("instances is no list")
+    return rows
+
+
+def number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+        raise ValueError("not a number to count with")
+    return float(value)
+
+
+def leaving(name: str, health: Health, born: Any = None) -> Row:
+    """Needs nothing but its id and lifecycle."""
+    try:
+        start = number(born)
+    except UNREADABLE:
+        start = inf
+    return Row(api.Entry(worker_id(name), 0, 0, "", health, None, 0.0), "", start)
+
+
+def is_news(known: Row | None, row: Row) -> bool:
+    """For the log: another health than before, or another start."""
+    if known is None:
+        return row.entry.health is not Health.GONE
+    return known.entry.health is not row.entry.health or row.entry.born_ms != known.entry.born_ms
+
+
+def precedence(row: Row) -> tuple[float, bool]:
+    return row.born, row.entry.health is not Health.READY
+
+
+TABLE: dict[tuple[str, str], tuple[str, Callable[[Muster, Read, bool], Change]]] = {
+    (WAITING, "newer"): (IN_STEP, Muster.adopt),
+    (IN_STEP, "newer"): (IN_STEP, Muster.adopt),
+    (IN_STEP, "older"): (BEHIND, Muster.heed),
+    (BEHIND, "older"): (BEHIND, Muster.heed),
+    (BEHIND, "changes"): (BEHIND, Muster.heed),     # in step again; its whole list is asked for next
+    (BEHIND, "newer"): (IN_STEP, Muster.adopt),
+    (BEHIND, "renumbered"): (IN_STEP, Muster.adopt),
+}
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -1,82 +1,188 @@
-"""The worker list's actor: starts from the known list, then watches discovery without a gap."""
+"""The worker list's actor: watches discovery's agent without a gap and acts on what muster makes of it."""
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
-from math import isfinite
-from typing import Any
+from functools import partial
 
-import aiohttp
-from aiohttp import hdrs
 from loguru import logger
-from yarl import URL
 
-from drumgw import interface as api
 from drumgw.gate.charter import BadCharter, Charter
 from drumgw.gate.desk import Desk
+from drumgw.gate.line import Answer, Lines, Trip
+from drumgw.gate.muster import SILENT_START_MS, UNREADABLE, Change, Muster, worker_id
 from drumgw.gate.workers import Workers
 from drumgw.interface import Health
 
-WATCH_MS, SILENT_MS = 1000, 1000    # guards drains: a watch that got lost says nothing till both are over
-AGAIN_MS = 50                       # under the protocol's gap of 200 ms
-STATES = {"up": Health.READY, "draining": Health.DRAINING, "removed": Health.GONE}
-
-
-def worker_id(instance: str) -> int:
-    """The same number at every gateway: they rank the workers by it."""
-    return int.from_bytes(hashlib.blake2b(instance.encode(), digest_size=6).digest(), "big")
+WATCH_MS, SILENT_MS = 1000.0, 1000.0    # guards drains: a watch that got lost says nothing till both are over
+SCOUT_MS, SCOUT_WAIT_MS = 150.0, 50.0   # guards drains as a silent agent comes back: within the grace
+AGAIN_MS = 50.0     # between two calls of a watch; under the protocol's gap of 200 ms
+LOOK_MS = 50.0      # nothing is sent on a word of the agent's that has lain unread for longer
+LINES, IDLE_MS, CONNECT_MS = 2, 5000.0, 1000.0      # a watch and a scout
+PATH = "/registry/instances"
+MOST_LIST = 4 * 1024 * 1024     # bytes; thousands of workers
 
 
 class Roster:
     def __init__(self, charter: Charter, desk: Desk, workers: Workers) -> None:
-        self.charter, self.desk, self.workers = charter, desk, workers
-        self.base = ""      # where discovery is asked; set by move
-        self.asking: asyncio.Task[dict[str, Any]] | None = None     # the call that is out
-        self.generation: int | None = None
-        self.heard = True
-        self.states: dict[str, Health] = {}     # workers on the list; emptied by it
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=2, use_dns_cache=False),
-            cookie_jar=aiohttp.DummyCookieJar(), skip_auto_headers=(hdrs.USER_AGENT,),
-            timeout=aiohttp.ClientTimeout(total=(WATCH_MS + SILENT_MS) / 1000))
-
+        self.charter, self.desk, self.workers, self.pulse = charter, desk, workers, desk.pulse
+        self.muster = Muster(charter.names)
+        try:
+            Muster(charter.names).stand_in(charter.known)
+        except UNREADABLE as bad:
+            raise BadCharter(f"known cannot be read: {bad!r}") from bad
+        self.lines = Lines(LINES, IDLE_MS, CONNECT_MS, desk.pulse, MOST_LIST)
+        self.calls: set[asyncio.Task[None]] = set()     # those out; emptied as they end
+        self.tasks: list[asyncio.Task[None]] = []       # the watch and its scout
+        self.round = 0          # a call that began before the last word, or a move, tells nothing any more
+        self.heard, self.unread, self.behind = True, 0, False   # modes that the log told
+        self.spoke = asyncio.Event()
+        self.heard_at = self.looked_at = self.scout_at = self.pulse.now()
         self.move(charter.discovery)
 
     def move(self, address: tuple[str, int]) -> None:
-        """The watch goes on there at once: the old address may keep its call for as long as it likes."""
-        self.base = "http://{}:{}/registry/instances".format(*address)
-        asking, self.asking = self.asking, None
-        if asking is not None:
-            asking.cancel()
-
-    def first(self) -> api.Listed:
+        """The watch goes on there at once: the old address may keep its calls for as long as it likes."""
+        self.address = "{}:{}".format(*address)
+        self.card = self.lines.card(self.address)
+        self.scout_at = self.pulse.now() + SCOUT_MS
+        self.drop_calls(None)
+
+    def drop_calls(self, answered: asyncio.Task[None] | None) -> None:
+        """What the others may still bring is older than what was just heard, or from elsewhere."""
+        self.round += 1
+        for call in self.calls:
+            if call is not answered:
+                call.cancel()
+
+    async def begin(self) -> None:
+        """Until the agent has spoken, or has been silent for so long that the known list stands in."""
+        self.heard_at, self.scout_at = self.pulse.now(), self.pulse.now() + SCOUT_MS
+        self.tasks = [asyncio.create_task(self.watch()), asyncio.create_task(self.scout())]
         try:
-            return self.read(self.charter.known, whole=True)
-        except (KeyError, TypeError, AttributeError) as bad:
-            raise BadCharter(f"known cannot be read: {bad!r}") from bad
+            async with asyncio.timeout(SILENT_START_MS / 1000):
+                await self.spoke.wait()
+        except TimeoutError:
+            logger.warning("discovery was silent for {:.0f} s from the start: the known list stands in",
+                           SILENT_START_MS / 1000)
+            self.act(self.muster.stand_in(self.charter.known), "known")
 
     async def close(self) -> None:
-        await self.session.close()
+        for task in (*self.tasks, *self.calls):
+            task.cancel()
+        await self.lines.close()
+
+    # Calls
 
     async def watch(self) -> None:
-        """Each next call at once after an answer; while discovery is silent the last list stands."""
+        """Each next call at once after an answer, but not faster than the drains want it."""
         while True:
-            asking = self.asking = asyncio.create_task(self.ask())
-            try:
-                told = await asking
-                if told.get("instances") or told.get("reset"):
-                    self.take(told, bool(told.get("reset")))
-                self.generation = told.get("generation", self.generation)
-                self.hear(None)
-            except asyncio.CancelledError:
-                if asking is self.asking:       # it is the watch that ends, not a call that moves
-                    raise
-            except Exception as error:      # no answer, or none that can be read
-                self.hear(error)
-                await asyncio.sleep(AGAIN_MS / 1000)
+            await self.call(WATCH_MS, WATCH_MS + SILENT_MS, AGAIN_MS)
 
-    def hear(self, error: Exception | None) -> None:
+    async def scout(self) -> None:
+        """While the agent is silent: a call that is out as it comes back may hear nothing, a new one does."""
+        while True:
+            if (wait := self.scout_at - self.pulse.now()) > 0:
+                await asyncio.sleep(wait / 1000)
+            else:
+                await self.call(SCOUT_WAIT_MS, SCOUT_MS, SCOUT_MS)
+
+    async def call(self, wait_ms: float, patience_ms: float, least_ms: float) -> None:
+        """One call that the agent may let wait; given up when another one is answered or discovery moves."""
+        end = self.pulse.now() + least_ms
+        call = asyncio.create_task(self.ask(wait_ms, patience_ms))
+        self.calls.add(call)
+        try:
+            await asyncio.wait((call,))
+        finally:
+            self.calls.discard(call)
+            call.cancel()
+        if not call.cancelled():
+            if (error := call.exception()) is not None:
+                self.hear(error)
+            await asyncio.sleep(max(0.0, end - self.pulse.now()) / 1000)
+
+    async def ask(self, wait_ms: float, patience_ms: float) -> None:
+        trip, over, end = Trip(), self.desk.loop.create_future(), self.pulse.now() + patience_ms
+        async with asyncio.timeout(patience_ms / 1000):
+            connection, wire = await self.lines.connect(self.card)
+        trip.connection = connection
+        since, task = self.muster.since, asyncio.current_task()
+        wire.heard = partial(self.told, over, task, self.round, since is None, self.pulse.now())
+        wire.lost = partial(fail, over)
+        try:
+            query = "" if since is None else f"?since={since}&timeout_ms={wait_ms:.0f}"
+            wire.ask(f"GET {PATH}{query} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
+            await asyncio.wait((over,), timeout=(end - self.pulse.now()) / 1000)
+            if not over.done():
+                wire.look()     # we may have stood
+            if not over.done():
+                raise TimeoutError
+            over.result()
+            trip.connection = None
+            connection.release()
+        finally:
+            wire.heard = wire.lost = None
+            trip.close()
+
+    def look(self) -> None:
+        """Before anything is sent: the agent's word may lie unread, behind a crowd or a stall of ours."""
+        now = self.pulse.now()
+        if now - self.looked_at >= LOOK_MS:
+            self.looked_at = now
+            for wire in list(self.lines.wires):
+                wire.look()
+
+    # What is told
+
+    def told(self, over: asyncio.Future[None], call: asyncio.Task[None] | None, begun: int, plain: bool,
+             asked_at: float, answer: Answer) -> None:
+        """Acts within the turn in which the bytes are read: no txn of that turn goes by an older list."""
+        if over.done() or begun != self.round:
+            return
+        message, body = answer
+        now = self.looked_at = self.pulse.now()
+        try:
+            if message.code != 200:
+                raise ValueError(f"discovery answers {message.code}")
+            change = self.muster.take(now, json.loads(body), plain)
+        except Exception as error:      # no list that can be read: the last one stands
+            fail(over, error)
+            return
+        silent_ms, self.heard_at, self.scout_at = now - self.heard_at, now, now + WATCH_MS + SCOUT_MS
+        self.drop_calls(call)
+        self.act(change, f"asked {now - asked_at:.0f} ms ago, nothing heard for {silent_ms:.0f} ms before")
+        self.hear(None)
+        self.spoke.set()
+        if not over.done():
+            over.set_result(None)
+
+    def act(self, change: Change, how: str) -> None:
+        """The module first: what the drained workers give back must not go to others of the same list."""
+        for row in change.up:
+            self.workers.place(row.entry.worker, row.address, row.entry.born_ms)
+        if change.listed.entries or change.listed.whole:
+            self.desk.post(self.desk.core.listed, change.listed)
+        for health in (Health.DRAINING, Health.GONE):
+            for name in change.told.get(health, ()):
+                self.workers.drain(worker_id(name), gone=health is Health.GONE)
+        self.log(change, how)
+
+    # The log
+
+    def log(self, change: Change, how: str) -> None:
+        for health, names in change.told.items():
+            logger.info("list {}, {}: {} now {}: {}", self.muster.newest, how, len(names), health.value,
+                        ", ".join(f"{worker_id(name)} ({name})" for name in names))
+        if change.unread != self.unread:
+            self.unread = change.unread
+            logger.warning("{} rows of the worker list cannot be read; those workers stay as they were",
+                           change.unread)
+        if self.muster.behind is not self.behind:
+            self.behind = self.muster.behind
+            logger.warning("the agent's list is {}", "older than what is known: only who leaves is heeded"
+                           if self.behind else "in step again")
+
+    def hear(self, error: BaseException | None) -> None:
         """A line for each change of mode; a silent watch that ends in time is no loss."""
         if self.heard is (error is None):
             return
@@ -84,56 +190,10 @@
         if error is None:
             logger.info("discovery heard")
         else:
-            logger.warning("discovery lost: {}; the last list stands", error or type(error).__name__)
+            logger.warning("discovery lost: {}; {}", error or type(error).__name__,
+                           "the last list stands" if self.spoke.is_set() else "nobody is let in yet")
 
-    async def ask(self) -> dict[str, Any]:
-        query = "" if self.generation is None else f"?since={self.generation}&timeout_ms={WATCH_MS}"
-        async with self.session.get(URL(self.base + query, encoded=True)) as answer:
-            answer.raise_for_status()
-            told: dict[str, Any] = json.loads(await answer.read())
-            return told
 
-    def take(self, told: dict[str, Any], whole: bool) -> None:
-        """The module first: what the drained workers give back must not go to others of the same list."""
-        self.desk.post(self.desk.core.listed, self.read(told, whole))
-        for name, health in self.states.items():
-            if health is Health.DRAINING:
-                self.workers.drain(worker_id(name), gone=False)
-        for number in self.workers.actors.keys() - {worker_id(name) for name in self.states}:
-            self.workers.drain(number, gone=True)
-
-    def read(self, told: dict[str, Any], whole: bool) -> api.Listed:
-        entries, named = [], set[str]()
-        for row in told["instances"]:
-            try:
-                entry, name = self.entry(row), str(row["instanceId"])
-            except (KeyError, TypeError, ValueError) as bad:    # one bad entry does not hide the others
-                logger.warning("an entry of the worker list cannot be read: {!r} in {}", bad, row)
-                continue
-            entries.append(entry)
-            named.add(name)
-            if entry.health is Health.READY:
-                self.workers.place(entry.worker, row["hostPort"], entry.born_ms)
-            self.change(name, entry.health)
-        for name in set(self.states) - named if whole else ():
-            self.change(name, Health.GONE)
-        if self.generation is None:
-            self.generation = told.get("generation")
-        return api.Listed(whole, tuple(entries))
-
-    def entry(self, row: dict[str, Any]) -> api.Entry:
-        born, weight = float(row["startedAtMs"]), float(row["weight"])
-        if not (isfinite(born) and isfinite(weight)):
-            raise ValueError("not a number to count with")
-        return api.Entry(
-            worker_id(row["instanceId"]), self.charter.names.zone(row["zone"]), int(row["cell"]),
-            row["machineType"], STATES[row["lifecycle"]], born or None, weight)
-
-    def change(self, name: str, health: Health) -> None:
-        if self.states.get(name) is health:
-            return
-        logger.info("worker {} ({}) is {}", worker_id(name), name, health.value)
-        if health is Health.GONE:
-            self.states.pop(name, None)
-        else:
-            self.states[name] = health
+def fail(over: asyncio.Future[None], error: BaseException) -> None:
+    if not over.done():
+        over.set_exception(error)
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -29,8 +30,9 @@
 class Worker:
     """A worker's actor. Its mailbox holds what was sent to it and has not ended."""
 
-    def __init__(self, card: aiohttp.ClientRequest) -> None:
-        self.card, self.open = card, True
+    def __init__(self) -> None:
+        self.place, self.open = ("", ""), True      # its address, and whose connections stand there
+        self.made: aiohttp.ClientRequest | None = None
         self.mailbox: dict[Key, tuple[asyncio.Task[None], Trip]] = {}   # emptied by ends and stops
 
 
@@ -45,15 +47,29 @@
     async def close(self) -> None:
         await self.lines.close()
 
+    def heed(self, look: Callable[[], None]) -> None:
+        """Guards drains where the loop stood or is crowded: the list is read before a first byte goes."""
+        self.lines.before = look
+
     # From the list
 
     def place(self, number: int, address: str, born: float | None) -> None:
         """Guards a new worker, or a new start, at a gone one's address: its connections are its own."""
-        card = self.lines.card(address, f"{number}-{born or 0:.0f}")
-        worker = self.actors.setdefault(number, Worker(card))
-        if worker.card.connection_key != card.connection_key:
-            self.lines.drop(worker.card.connection_key)
-        worker.card, worker.open = card, True
+        worker, place = self.actors.setdefault(number, Worker()), (address, f"{number}-{born or 0:.0f}")
+        if worker.place != place:
+            self.leave(worker)
+        worker.place, worker.open = place, True
+
+    def leave(self, worker: Worker) -> None:
+        card, worker.made = worker.made, None
+        if card is not None:
+            self.lines.drop(card.connection_key)
+
+    def card(self, worker: Worker) -> aiohttp.ClientRequest:
+        """Made at need: of a thousand workers a gateway sends to a few."""
+        if worker.made is None:
+            worker.made = self.lines.card(*worker.place)
+        return worker.made
 
     def drain(self, number: int, gone: bool) -> None:
         """Guards the drain: what waits for a connection and was not written yet is not sent any more."""
@@ -61,7 +77,7 @@
         if worker is None:
             return
         worker.open = False
-        self.lines.drop(worker.card.connection_key)
+        self.leave(worker)
         for (txn, n), (_, trip) in list(worker.mailbox.items()):
             if not trip.written:
                 self.stop(Stop(txn, n))
@@ -101,7 +117,7 @@
         request = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (passage.head, left, passage.body)
         stood = self.desk.pulse.stood_ms
         try:
-            message, body = await self.lines.ask(worker.card, request, trip)
+            message, body = await self.lines.ask(self.card(worker), request, trip)
         except BROKEN as error:     # before its last byte was written it cannot have run
             self.desk.pulse.now()
             ours = isinstance(error, TimeoutError) and stood < self.desk.pulse.stood_ms
--- a/drumgw/lab/virtual.py
+++ b/drumgw/lab/virtual.py
@@ -15,7 +15,7 @@
 from drumgw.gate.clock import LATE_MS
 from drumgw.gate.core import Alarm, Core, Effect, Fault, Keeper, Reply, Send, Stop
 from drumgw.gate.gateway import LINGER_MS
-from drumgw.gate.roster import STATES, worker_id
+from drumgw.gate.muster import STATES, worker_id
 from drumgw.interface import End, Health
 from drumgw.lab.clients import TERM_SEEN_MS, Try
 from drumgw.lab.clocks import Handle, VirtualClock
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -31,6 +31,7 @@
 TARGET = "/a/x%7e//y?account=00000000b4d65521&q=%20+%2F"
 ENDLESS = {**OPTIONS["contract"], "coldMs": float("inf")}
 POSTED = "/b?account=00000000b4d65521"
+EMPTY = http(json.dumps({"generation": 1, "reset": True, "instances": []}).encode())
 
 
 def instance(name: str, address: str, state: str = "up", **more: Any) -> dict[str, Any]:
@@ -73,8 +74,13 @@
         return server
 
     async def begin(self, *addresses: str, watch: Any = None, **more: Any) -> Gateway:
-        discovery = await self.stand_in(watch)
         instances = [instance(f"s-{n}", address) for n, address in enumerate(addresses)]
+        listed = http(json.dumps({"generation": 1, "reset": True, "instances": instances}).encode())
+
+        def discover(head: bytes, body: bytes) -> Any:
+            """The whole list at once; what a watch is answered is the test's."""
+            return listed if b"since=" not in head else watch(head, body) if callable(watch) else watch
+        discovery = await self.stand_in(discover)
         self.told = told(discovery.address, instances, **more)
         self.gateway = Gateway(charter(self.told))
         self.place = await self.gateway.open()
@@ -366,7 +372,7 @@
 
     async def test_a_sighup_before_it_serves_is_heeded_and_one_at_the_end_ends_nothing(self) -> None:
         """Guards restarts beside new configurations: its default would end the process as by a crash."""
-        discovery = await self.stand_in(None)
+        discovery = await self.stand_in(EMPTY)
         text, loop = json.dumps(told(discovery.address, [])).encode(), asyncio.get_running_loop()
         story = ("import runpy, signal\n"
                  "try: runpy.run_module('drumgw', run_name='__main__')\n"
@@ -385,14 +391,16 @@
                 stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
             assert run.stderr and run.stdout
             await loop.run_in_executor(None, write, run.pid)
-            await loop.run_in_executor(None, write, None)       # read again, once it serves
+            while b" serves at " not in (line := await run.stderr.readline()):  # the first reading is over
+                self.assertTrue(line, "it ended early")
+            await loop.run_in_executor(None, write, None)
             while b"SIGHUP: discovery" not in (line := await run.stderr.readline()):
                 self.assertTrue(line, "it ended early")
             run.terminate()
             self.assertEqual((await run.stdout.read(), await run.wait()), (b"SIG_IGN\n", 0))
 
     async def test_run_ends_with_0_on_sigterm_and_2_on_a_bad_configuration(self) -> None:
-        discovery = await self.stand_in(None)
+        discovery = await self.stand_in(EMPTY)
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             json.dump(told(discovery.address, []), file)
             file.flush()
@@ -443,7 +451,10 @@
             asked.append(head.split()[1])
             return http(json.dumps(await news.get()).encode())
         gateway = await self.begin("127.0.0.1:1", "127.0.0.1:2", watch=watch)
-        states = gateway.roster.states
+        listed = gateway.roster.muster.rows
+
+        def states() -> dict[str, api.Health]:
+            return {name: row.entry.health for name, row in listed.items()}
         rows = [instance("s-0", "127.0.0.1:1", "draining"), instance("s-1", "127.0.0.1:2", "removed"),
                 {"instanceId": "s-odd"}, instance("s-odd", "127.0.0.1:1", "upside down"),
                 instance("s-odd", "127.0.0.1:1", startedAtMs=float("nan")),
@@ -451,13 +462,13 @@
         news.put_nowait({"generation": 2, "reset": False, "instances": rows})
         while len(asked) < 2:
             await asyncio.sleep(0.001)
-        self.assertEqual(states, {"s-0": api.Health.DRAINING, "s-2": api.Health.READY})
+        self.assertEqual(states(), {"s-0": api.Health.DRAINING, "s-2": api.Health.READY})
         self.assertEqual([w.open for w in gateway.workers.actors.values()], [False, True])
         self.assertLessEqual(int(asked[0].split(b"timeout_ms=")[1]), 1000)  # a lost watch is asked again soon
         news.put_nowait({"generation": 3, "reset": True, "instances": rows[5:]})
         while len(asked) < 3:
             await asyncio.sleep(0.001)
-        self.assertEqual(states, {"s-2": api.Health.READY})
+        self.assertEqual(states(), {"s-2": api.Health.READY})
         self.assertEqual([target.split(b"&")[0].split(b"?")[1] for target in asked],
                          [b"since=1", b"since=2", b"since=3"])
 
@@ -472,19 +483,19 @@
         with mock.patch("drumgw.gate.gateway.logger") as log:
             self.reload(discovery="nowhere")
             self.assertIn("old configuration stands", log.warning.call_args[0][0])
-        self.assertEqual((len(new.came), list(gateway.roster.states)), (0, ["s-0"]))
+        self.assertEqual((len(new.came), list(gateway.roster.muster.rows)), (0, ["s-0"]))
         self.reload(discovery=new.address)
         while len(new.came) < 2:
             await asyncio.sleep(0.001)
         self.assertIn(b"?since=1&", new.came[0][0])
-        self.assertEqual(list(gateway.roster.states), ["s-0", "s-1"])
+        self.assertEqual(list(gateway.roster.muster.rows), ["s-0", "s-1"])
 
     async def test_a_list_that_cannot_be_read_leaves_the_last(self) -> None:
         answers = [http(b"{]"), http(status=503), http(json.dumps(
             {"generation": 9, "reset": True, "instances": [instance("s-9", "127.0.0.1:9")]}).encode())]
         gateway = await self.begin("127.0.0.1:1", watch=lambda *came: answers.pop(0) if answers else None)
-        self.assertEqual(list(gateway.roster.states), ["s-0"])
-        while "s-9" not in gateway.roster.states:
+        self.assertEqual(list(gateway.roster.muster.rows), ["s-0"])
+        while "s-9" not in gateway.roster.muster.rows:
             await asyncio.sleep(0.001)
 
     async def test_a_drain_stops_what_was_not_written_yet(self) -> None:
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,339 @@
+"""The worker list: which word may be acted on, and when it is read. Discovery is the tests' own script."""
+from __future__ import annotations
+
+import asyncio
+import difflib
+import json
+import os
+import sys
+import tempfile
+import unittest
+from typing import Any
+from unittest import mock
+
+from drumgw.gate.charter import MOST_BODY
+from drumgw.gate.gateway import Gateway
+from drumgw.gate.muster import RENUMBERED_MS, UNREADABLE, Change, Muster
+from drumgw.interface import Health
+from tests.stage import TRACES, StandIn, http
+from tests.test_gate import GateCase, charter, instance, settings, told
+
+Obj = dict[str, Any]
+
+
+def listed(generation: Any, *rows: Any, whole: bool = True) -> bytes:
+    return http(json.dumps({"generation": generation, "reset": whole, "instances": rows}, indent=4).encode())
+
+
+class Agent(GateCase):
+    """A discovery that has what its test says, from the first call on: news answer a watch at once."""
+
+    async def agent(self, *rows: Any) -> StandIn:
+        self.now: Obj | None = {"generation": 7, "reset": True, "instances": list(rows)}   # none: silence
+        self.asked: list[str] = []
+        self.news: asyncio.Condition = asyncio.Condition()
+        self.discovery = await self.stand_in(self.answer)
+        return self.discovery
+
+    async def answer(self, head: bytes, body: bytes) -> bytes | None:
+        self.asked.append(head.split()[1].decode())
+        if self.now is None:
+            return None
+        async with self.news:
+            while self.now is not None and f"since={self.now['generation']}&" in self.asked[-1]:
+                await self.news.wait()
+        return None if self.now is None else http(json.dumps(self.now).encode())
+
+    async def start(self, known: list[Obj], **more: Any) -> Gateway:
+        self.gateway = Gateway(charter(told(self.discovery.address, known, **more)))
+        self.opening = asyncio.create_task(self.gateway.open())
+        self.addAsyncCleanup(self.end)
+        return self.gateway
+
+    async def opened(self) -> None:
+        self.place = await self.opening
+
+    async def until(self, *words: str) -> None:
+        """Until so many calls have come whose targets hold the words."""
+        while not all(any(word in target for target in self.asked) for word in words):
+            await asyncio.sleep(0.001)
+
+    def health(self) -> dict[str, str]:
+        return {name: row.entry.health.value for name, row in self.gateway.roster.muster.rows.items()}
+
+    async def workers(self) -> tuple[StandIn, StandIn, list[Obj]]:
+        one, other = await self.stand_in(http(b"one")), await self.stand_in(http(b"other"))
+        return one, other, [instance("s-0", one.address), instance("s-1", other.address)]
+
+    async def ask_all(self) -> list[tuple[int, bytes]]:
+        """Txns of many customers: ranked by hash, half of them come to each of two workers."""
+        answers = [await self.ask(f"/a?account={n:016x}", Request_Id=f"{n:x}") for n in range(16)]
+        return [answer[:2] for answer in answers]
+
+
+class Starts(Agent):
+    async def test_a_start_with_an_old_list_sends_nothing_to_who_has_left(self) -> None:
+        """What the agent has counts as told from the first moment: it speaks before anybody is let in."""
+        one, other, known = await self.workers()
+        await self.agent({**known[0], "lifecycle": "draining"}, known[1])
+        hold, held = asyncio.Event(), self.answer
+
+        async def answer(head: bytes, body: bytes) -> bytes | None:
+            await hold.wait()
+            return await held(head, body)
+        self.discovery.answer = answer
+        gateway = await self.start(known)
+        while not self.discovery.came:
+            await asyncio.sleep(0.001)
+        assert gateway.front.socket is not None
+        self.assertEqual((gateway.front.ready, self.opening.done()), (False, False))
+        self.assertEqual(gateway.workers.actors, {})
+        with self.assertRaises(ConnectionRefusedError):     # as while it was not running
+            await asyncio.open_connection(*gateway.front.socket.sockets[0].getsockname())
+        hold.set()
+        await self.opened()
+        self.assertEqual((await self.ask("/health/ready"))[0], 200)
+        self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
+        self.assertEqual((one.came, self.health()), ([], {"s-0": "draining", "s-1": "ready"}))
+
+    async def test_silent_at_the_start_then_back_with_a_drain(self) -> None:
+        """After long silence the known list stands in; whatever the agent then has is taken at once."""
+        one, other, known = await self.workers()
+        await self.agent()
+        self.now = None
+        with mock.patch("drumgw.gate.roster.SILENT_START_MS", 0.0), \
+                mock.patch("drumgw.gate.roster.SCOUT_MS", 1.0), \
+                mock.patch("drumgw.gate.roster.logger") as log:
+            await self.start(known)
+            await self.opened()
+            self.assertIn("the known list stands in", str(log.warning.call_args_list))
+            self.assertEqual(set(await self.ask_all()), {(200, b"one"), (200, b"other")})
+            came = len(one.came)
+            self.now = {"generation": 3, "reset": True, "instances": [
+                {"instanceId": "s-0", "lifecycle": "draining"}, known[1]]}
+            await self.until("since=3&")
+        self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
+        self.assertEqual((len(one.came), self.asked[0]), (came, "/registry/instances"))
+
+    async def test_told_to_end_while_it_waits_for_discovery(self) -> None:
+        discovery = await self.stand_in(None)
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(told(discovery.address, []), file)
+            file.flush()
+            run = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", "drumgw", env={**os.environ, "GW_CONFIG": file.name},
+                stderr=asyncio.subprocess.PIPE)
+            while not discovery.came:
+                await asyncio.sleep(0.001)
+            run.terminate()
+            _, said = await run.communicate()
+        self.assertEqual((run.returncode, b"n0 ends before it served" in said), (0, True), said)
+
+
+class Watches(Agent):
+    async def test_a_call_that_is_out_as_the_agent_comes_back_may_hear_nothing(self) -> None:
+        """Guards the grace: the watch's own patience is far longer here, and it is never answered."""
+        await self.agent(instance("s-0", "127.0.0.1:1"))
+        with mock.patch("drumgw.gate.roster.SILENT_MS", 1e9), \
+                mock.patch("drumgw.gate.roster.SCOUT_MS", 1.0), \
+                mock.patch("drumgw.gate.roster.WATCH_MS", 0.0):
+            await self.start([])
+            await self.opened()
+            await self.until("since=7&")    # out for good: news do not wake it
+            self.now = {"generation": 8, "reset": False, "instances": [instance("s-0", "", "draining")]}
+            async with asyncio.timeout(20):     # only so that a broken scout fails and does not hang
+                await self.until("since=8&")
+        self.assertEqual(self.health(), {"s-0": "draining"})
+
+    def write(self, *rows: Any) -> None:
+        """News on the watch that is out: its bytes lie in our socket, and the loop has had no turn."""
+        self.discovery.came_on[-1].write(listed(8, *rows, whole=False))
+
+    async def watched(self) -> tuple[StandIn, StandIn, list[Obj]]:
+        one, other, rows = await self.workers()
+        await self.agent(*rows)
+        await self.start([])
+        await self.opened()
+        await self.until("since=7&")
+        return one, other, rows
+
+    async def test_a_drain_that_lies_unread_goes_before_a_txn(self) -> None:
+        """Guards drains behind a crowd or a stall of ours: the txn is read first, the list acted on first."""
+        one, _, _ = await self.watched()
+        came = [n for n, answer in enumerate(await self.ask_all()) if answer == (200, b"one")]   # kept lines
+        read, one.came = self.gateway.front.read, []
+
+        async def late(request: Any) -> bytes:
+            self.write(instance("s-0", "", "draining"))
+            return await read(request)
+        with mock.patch("drumgw.gate.roster.LOOK_MS", 0.0), \
+                mock.patch.object(self.gateway.front, "read", late):
+            self.assertEqual((await self.ask(f"/a?account={came[0]:016x}"))[:2], (200, b"other"))
+        self.assertEqual((one.came, self.health()), ([], {"s-0": "draining", "s-1": "ready"}))
+
+    async def test_a_drain_that_lies_unread_goes_before_what_waited_for_its_connection(self) -> None:
+        one, _, rows = await self.watched()
+        connector = self.gateway.workers.lines.connector
+        connect = connector.connect
+
+        async def up(card: Any, *rest: Any) -> Any:
+            connection = await connect(card, *rest)
+            if f":{card.url.port}" in one.address and not one.came:
+                self.write({"instanceId": "s-0", "lifecycle": "removed"})
+            return connection
+        with mock.patch("drumgw.gate.roster.LOOK_MS", 0.0), mock.patch.object(connector, "connect", up):
+            self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
+        self.assertEqual((one.came, self.health()), ([], {"s-1": "ready"}))
+
+    async def test_a_thousand_workers_in_one_list(self) -> None:
+        """Beyond what a body may hold elsewhere; a drain of all but one of them is one list more."""
+        _, other, rows = await self.workers()
+        many = [instance(f"s-{n}", f"127.0.0.1:{n}") for n in range(2, 1025)]
+        await self.agent(*many, rows[1])
+        self.assertGreater(len(json.dumps(many)), MOST_BODY)
+        await self.start([], settings=settings(balancers=1024))
+        await self.opened()
+        self.assertEqual(len(self.gateway.workers.actors), 1024)
+        leave = [{**row, "lifecycle": "draining"} for row in many]
+        self.now = {"generation": 8, "reset": False, "instances": leave}
+        async with self.news:
+            self.news.notify_all()
+        await self.until("since=8&")
+        info = "units=1,spread=1024,first=1023"
+        self.assertEqual((await self.ask(Quota_Info=info))[:2], (200, b"other"))
+        self.assertEqual(sum(worker.open for worker in self.gateway.workers.actors.values()), 1)
+
+    async def test_an_agent_that_answers_at_once_is_not_asked_without_end(self) -> None:
+        await self.agent()
+        gateway = await self.start([])
+        await self.opened()
+        slept: list[float] = []
+
+        async def sleep(seconds: float) -> None:
+            slept.append(seconds)
+        for task in gateway.roster.tasks:
+            task.cancel()
+        with mock.patch.object(gateway.pulse, "now", lambda: 1e6), \
+                mock.patch.object(gateway.roster, "ask", mock.AsyncMock()), \
+                mock.patch("asyncio.sleep", sleep):
+            await gateway.roster.call(1000.0, 2000.0, 50.0)
+        self.assertEqual(slept, [0.05])
+
+    async def test_what_is_no_list_leaves_the_last_and_is_one_line(self) -> None:
+        up = instance("s-0", "127.0.0.1:1")
+        await self.agent(up)
+        bad = [http(status=500), b"", b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n{", http(b"{]"),
+               http(b"7"), http(b"[]"), http(b'{"instances": {}}'), http(b'{"generation": 8}'),
+               http(b'{"generation": 8, "reset": true, "instances": [7, {}]}'), http(b"[" * 100000)]
+        gateway = await self.start([])
+        await self.opened()
+        held = self.answer
+
+        async def answer(head: bytes, body: bytes) -> bytes | None:
+            return bad.pop(0) if bad else await held(head, body)
+        self.discovery.answer = answer
+        self.now = {"generation": 8, "reset": False, "instances": [instance("s-1", "127.0.0.1:1")]}
+        with mock.patch("drumgw.gate.roster.logger") as log, mock.patch("drumgw.gate.roster.AGAIN_MS", 0.0):
+            async with self.news:
+                self.news.notify_all()
+            await self.until("since=8&")
+        lost = [call for call in log.warning.call_args_list if "discovery lost" in call[0][0]]
+        self.assertEqual((bad, self.health()), ([], {"s-0": "ready", "s-1": "ready"}))
+        self.assertEqual(len(lost), 1)
+        self.assertEqual(len(gateway.workers.actors), 2)
+
+
+ROW = instance("s-a", "127.0.0.1:1")
+
+
+class Order(unittest.TestCase):
+    """The rule itself, as a trace of lists and what each of them changes."""
+
+    def setUp(self) -> None:
+        self.muster, self.now, self.trace = Muster(charter(told("127.0.0.1:1", [])).names), 0.0, list[str]()
+
+    def take(self, generation: Any, *rows: Any, whole: bool = False, after_ms: float = 100.0) -> None:
+        self.now += after_ms
+        plain = self.muster.since is None
+        said = {"generation": generation, "reset": whole, "instances": list(rows)}
+        asked = "all" if plain else f"since {self.muster.since}"
+        try:
+            change = self.muster.take(self.now, said, plain)
+        except UNREADABLE as bad:
+            self.trace.append(f"{self.now:6.0f}  asked {asked}, list {generation}: {type(bad).__name__}")
+            return
+        self.note(f"asked {asked}, {'whole ' if whole else ''}list {generation}", change)
+
+    def note(self, what: str, change: Change) -> None:
+        moves = "; ".join(f"{health.value}: {', '.join(names)}" for health, names in change.told.items())
+        rows = ", ".join(f"{name} {row.entry.health.value}" for name, row in self.muster.rows.items())
+        unread = f", {change.unread} unread" if change.unread else ""
+        self.trace.append(f"{self.now:6.0f}  {what}{unread} -> {moves or 'nothing'}")
+        self.trace.append(f"        {self.muster.state}: {rows}")
+
+    def same(self, name: str) -> None:
+        kept = (TRACES / f"{name}.txt").read_text().splitlines()
+        change = list(difflib.unified_diff(kept, self.trace, "kept", "now", lineterm="", n=2))
+        self.assertFalse(change, "\n" + "\n".join(change))
+
+    def row(self, name: str, state: str = "up", born: float = 0.0) -> Obj:
+        return instance(name, "127.0.0.1:1", state, startedAtMs=born)
+
+    def test_an_older_list_undoes_nothing(self) -> None:
+        self.take(41, self.row("s-a"), self.row("s-b"), self.row("s-c"), whole=True)
+        self.take(43, self.row("s-a", "draining"), self.row("s-b", "removed"))
+        self.take(42, self.row("s-a"), self.row("s-b"), self.row("s-c", "draining"), whole=True)
+        self.take(42, self.row("s-a", born=9.0), self.row("s-d"))   # a later start; one that may have left
+        self.take(43)                                               # in step again: all is asked for
+        self.take(43, self.row("s-a", born=9.0), self.row("s-c"), whole=True)
+        self.same("muster-older")
+
+    def test_a_numbering_begun_anew_is_taken_in_time(self) -> None:
+        self.take(41, self.row("s-a"), self.row("s-b"), whole=True)
+        self.take(3)                                                    # its version says nothing of its list
+        self.take(3, self.row("s-b"), self.row("s-c"), whole=True)
+        self.take(4, self.row("s-b", "draining"), after_ms=RENUMBERED_MS / 2)
+        self.take(5, after_ms=RENUMBERED_MS / 2)
+        self.take(5, self.row("s-b", "draining"), self.row("s-c"), whole=True)
+        self.take(6, self.row("s-c", "draining"))
+        self.same("muster-renumbered")
+
+    def test_known_stands_in_only_until_the_agent_speaks(self) -> None:
+        known = {"generation": 50, "instances": [self.row("s-a"), self.row("s-b")]}
+        self.note("known", self.muster.stand_in(known))
+        self.take(41, self.row("s-b", "draining"), self.row("s-c"))     # older, and not said to be whole
+        self.same("muster-known")
+
+    def test_a_row_that_lacks_or_spoils_fields_hides_no_drain(self) -> None:
+        self.take(1, *(self.row(f"s-{n}") for n in "abcdefg"), whole=True)
+        self.take(2, {"instanceId": "s-a", "lifecycle": "draining"},
+                  {"instanceId": "s-b", "lifecycle": "removed"},
+                  instance("s-c", "nowhere", "draining", startedAtMs="?", zone=[], weight=None, cell={}))
+        bad: list[Any] = [
+            {"instanceId": "s-d"}, {**ROW, "instanceId": "s-e", "weight": float("nan")},
+            {**ROW, "instanceId": "s-f", "lifecycle": ["up"]},
+            {**ROW, "instanceId": "s-g", "cell": float("inf")},
+            {**ROW, "instanceId": "s-h", "hostPort": "a b"},
+            {**ROW, "instanceId": "s-i", "hostPort": "h:70000"}, {**ROW, "instanceId": 5},
+            {**ROW, "instanceId": ""}, {**ROW, "instanceId": "s" * 257},
+            {**ROW, "instanceId": "s-j", "startedAtMs": True}, {**ROW, "instanceId": "s-k", "zone": {}}]
+        self.take(3, *bad, None, "s-d", ROW, whole=True)    # who is named stays what it was, others are gone
+        self.same("muster-rows")
+
+    def test_two_rows_of_a_worker_in_one_list(self) -> None:
+        self.take(1, self.row("s-a"), self.row("s-b"), self.row("s-c"), self.row("s-d"), whole=True)
+        self.take(2, self.row("s-a", "removed"), self.row("s-a", born=5.0),         # replaced in one step
+                  self.row("s-b", born=5.0), self.row("s-b", "removed"),
+                  self.row("s-c"), self.row("s-c", "draining"),     # leaving goes before staying
+                  self.row("s-d", born=5.0), {"instanceId": "s-d", "lifecycle": "draining"})
+        self.take(3, self.row("s-c"))       # a newer list may call a drain off
+        self.same("muster-twice")
+
+    def test_a_generation_that_cannot_be_used(self) -> None:
+        self.take(1, self.row("s-a"), whole=True)
+        for generation in (None, "2", True, -3, 2.5):
+            self.take(generation, self.row("s-a", "draining"))
+        self.take(2, "no row", {}, whole=True)      # no list
+        self.same("muster-generations")
+        self.assertEqual(self.muster.rows["s-a"].entry.health, Health.DRAINING)
+
