--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -64,7 +64,7 @@
         except TimeoutError:
             logger.warning("discovery was silent for {:.0f} s from the start: the known list stands in",
                            SILENT_START_MS / 1000)
-            self.act(self.muster.stand_in(self.charter.known), "known")
+            self.act(self.muster.stand_in(self.charter.known), "list known")
 
     async def close(self) -> None:
         for task in (*self.tasks, *self.calls):
@@ -150,7 +150,8 @@
             return
         silent_ms, self.heard_at, self.scout_at = now - self.heard_at, now, now + WATCH_MS + SCOUT_MS
         self.drop_calls(call)
-        self.act(change, f"asked {now - asked_at:.0f} ms ago, nothing heard for {silent_ms:.0f} ms before")
+        self.act(change, f"list {self.muster.newest}, asked {now - asked_at:.0f} ms ago, "
+                         f"nothing heard for {silent_ms:.0f} ms before")
         self.hear(None)
         self.spoke.set()
         if not over.done():
@@ -171,8 +172,8 @@
 
     def log(self, change: Change, how: str) -> None:
         for health, names in change.told.items():
-            logger.info("list {}, {}: {} now {}: {}", self.muster.newest, how, len(names), health.value,
-                        ", ".join(f"{worker_id(name)} ({name})" for name in names))
+            numbered = ", ".join(f"{worker_id(name)} ({name})" for name in names)
+            logger.info("{}: {} now {}: {}", how, len(names), health.value, numbered)
         if change.unread != self.unread:
             self.unread = change.unread
             logger.warning("{} rows of the worker list cannot be read; those workers stay as they were",
