Hosted tenants: drumgw host, an administration API, drumgw tenants

Need (issue on tenants): a partner operates its own fleet beside others in one service; a process had one charter and one desk.

Change. gate/station.py: a gatekeeper without its clients, taken out of gateway.py; front.pass_on serves any desk; a desk can end (its ticks no longer outlive it); counts may bear a prefix. drumgw/host/: routes, shares, turns, registry, access (no I/O), store (one file: version, checksum, write beside, sync, rename, the last good one kept), hosting (a station a tenant; replaced when its successor knows its workers, shut when nothing is in flight), api and openapi (one table for routes, roles, statuses and the document), front, service. papers/house.py: the host's file and what a tenant is made of. drumgw host, token, tenants. `run` loads none of it; deploy/host.toml, examples/host.toml.

Weighed: docs/tenants.md. Operators: docs/hosting.md.

Tests: tests/test_host.py (any order of takes, gives and changes adds up; 2,000 writes of the state file killed at every point; each role and call), tests/test_hosting.py on sockets (twenty tenants with one customer, one id, one worker name and one counter; a rush onto stalled workers and bodies that never come whole; removed in flight and made anew; plans lowered below what was sent; twelve administrators at once; a flood; mistakes of each kind; restart; a full disk). Taken out in turn, each failing for it: names of counts, shares, waiting for what is in flight, keeping before making, roles, the lock, the limit on calls. While writing them: the shares were first tested with a rush that the module's own room held back (it passed without shares); bodies that never come whole reach them.

--- a/drumgw/cli/__main__.py
+++ b/drumgw/cli/__main__.py
@@ -10,6 +10,7 @@
 
 import click
 
+from drumgw.cli.tenants import tenants
 from drumgw.papers.reading import Unusable
 
 BROKEN, UNUSABLE, CANNOT, STOPPED = 1, 2, 3, 130
@@ -47,6 +48,32 @@
         refuse(bad)
 
 
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--check", "only_check", is_flag=True, help="Only say whether FILE is usable.")
+def host(file: str, only_check: bool) -> None:
+    """Run a host of many tenants as FILE says. SIGTERM ends it; SIGHUP reads its tokens again."""
+    from drumgw.cli.hosting import check, run
+    from drumgw.gate.charter import BadCharter
+
+    try:
+        if only_check:
+            click.echo(check(file))
+        else:
+            run(file)
+    except (Unusable, BadCharter) as bad:
+        refuse(bad)
+
+
+@main.command()
+def token() -> None:
+    """Make an administrator's token: the first line is shown once, the second is for the host's file."""
+    from drumgw.host.access import new_token
+
+    text, digest = new_token()
+    click.echo(f"token:  {text}\nsha256: {digest}")
+
+
 @main.command()
 @click.argument("config", type=click.Path(dir_okay=False))
 @click.option("--show", is_flag=True, help="Print the configuration that it makes, as JSON.")
@@ -160,5 +187,7 @@
     sys.exit(BROKEN if any(run["breaches"] or not run["valid"] for run in found) else 0)
 
 
+main.add_command(tenants)
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/drumgw/cli/hosting.py
@@ -0,0 +1,42 @@
+"""drumgw host: many tenants in one process, from an operator's file."""
+
+from __future__ import annotations
+
+import sys
+
+import uvloop
+from loguru import logger
+
+from drumgw.cli.serving import TEXT
+from drumgw.gate.charter import BadCharter
+from drumgw.host.registry import Refused, Registry
+from drumgw.host.service import serve
+from drumgw.papers.house import House, read_house, tenant_charter
+
+
+def run(path: str) -> None:
+    house = checked(path)
+    logger.remove()
+    if house.log.form == "json":
+        logger.add(sys.stderr, level=house.log.level, serialize=True)
+    else:
+        logger.add(sys.stderr, level=house.log.level, format=TEXT)
+    uvloop.run(serve(house, lambda: read_house(path)))
+
+
+def check(path: str) -> str:
+    house = checked(path)
+    kept = f"kept in {house.host.state}" if house.host.state else "of this file; the API reads only"
+    return f"{path}: usable: {len(house.tenant)} tenant(s), {len(house.token)} token(s), tenants {kept}"
+
+
+def checked(path: str) -> House:
+    """Routes that meet and settings that make no station are mistakes too."""
+    house, registry = read_house(path), Registry()
+    for named in house.tenant:
+        try:
+            tenant, _ = registry.create(named.name, named.spec())
+        except Refused as no:
+            raise BadCharter(f"{path}: tenant {named.name}: {no.detail}") from no
+        tenant_charter(house, named.name, tenant.serial, named, 2)
+    return house
--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -35,6 +35,7 @@
     lines: int              # and to workers
     idle_ms: float          # a connection to a worker is kept this long at most
     connect_ms: float
+    prefix: str = ""        # of the names of its counts, where several share a counter
 
     @property
     def longest_ms(self) -> float:
--- a/drumgw/gate/counter.py
+++ b/drumgw/gate/counter.py
@@ -44,7 +44,8 @@
 
     def write(self, wire: Wire, call: Call) -> None:
         order = call.order
-        target = f"/counters/{order.name}?by={order.amount:.12g}&expire_ms={order.lives_ms:.0f}"
+        name = f"{self.counter.prefix}{order.name}"
+        target = f"/counters/{name}?by={order.amount:.12g}&expire_ms={order.lives_ms:.0f}"
         wire.ask((f"POST {target} HTTP/1.1\r\nHost: {self.counter.address}\r\n"
                   "Content-Length: 0\r\n\r\n").encode())
         call.written = True
@@ -105,7 +106,7 @@
         self.lines = Lines(COUNTER_LINES, IDLE_MS, None, desk.pulse)
         self.lanes: set[Lane] = set()       # 32 at most; emptied as they close
         self.names: dict[int, tuple[deque[Call], Lane | None]] = {}     # calls out; emptied by their ends
-        self.waiting = 0
+        self.waiting, self.prefix = 0, charter.prefix
         self.move(charter.counter)
 
     def move(self, address: tuple[str, int]) -> None:
--- a/drumgw/gate/desk.py
+++ b/drumgw/gate/desk.py
@@ -39,6 +39,7 @@
         self.draining = False
         self.waiting: dict[int, tuple[Passage, asyncio.Future[Reply]]] = {}     # emptied by the replies
         self.alarms: dict[int, Timer] = {}        # expiries; emptied as txns leave the hand
+        self.wakes: dict[int, asyncio.TimerHandle] = {}     # by label, of which there are few
         self.routes: dict[type, Callable[[Any], None]] = {
             Send: self.on_send, Stop: self.on_stop, Reply: self.on_reply, Alarm: self.on_alarm,
             Fault: self.on_fault, api.Add: self.on_add, api.Wake: self.on_wake, api.Say: self.on_say}
@@ -136,7 +137,17 @@
         self.counter.call(order)
 
     def on_wake(self, order: api.Wake) -> None:
-        self.loop.call_later(order.after_ms / 1000.0, self.post, self.core.due, order.label)
+        self.wakes[order.label] = self.loop.call_later(
+            order.after_ms / 1000.0, self.post, self.core.due, order.label)
+
+    def close(self) -> None:
+        """Its ticks end; a process may go on with other desks."""
+        for wake in self.wakes.values():
+            wake.cancel()
+        for alarm in self.alarms.values():
+            alarm.cancel()
+        self.wakes.clear()
+        self.alarms.clear()
 
     def on_fault(self, fault: Fault) -> None:
         self.complain(fault.error, "the module")
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -230,21 +230,26 @@
             raise Unfit(400, "the body can't be read") from bad
 
     async def serve(self, request: BaseRequest, target: str, client: Client) -> Whole:
+        return await self.pass_on(request, target, target, client, self.charter, self.desk, self.ids)
+
+    async def pass_on(self, request: BaseRequest, target: str, path: str, client: Client, charter: Charter,
+                      desk: Desk, ids: set[str]) -> Whole:
+        """To the desk of whoever serves it; path is the target as the product is read from it."""
         headers = request.headers
-        asked = read_asked(self.charter.names, self.charter.terms, request.method, target, headers)
+        asked = read_asked(charter.names, charter.terms, request.method, path, headers)
         body = await self.read(request)
-        if (name := headers["Request-Id"]) in self.ids:
+        if (name := headers["Request-Id"]) in ids:
             raise Unfit(409, "a txn of this id is open")    # it would spoil that one
         client.move(Stage.OPEN)
         passage = Passage(write_head(request.method, target, headers, body), body, asked)
-        self.ids.add(name)
+        ids.add(name)
         try:
-            reply = await self.desk.take(passage)
+            reply = await desk.take(passage)
         except asyncio.CancelledError:
-            self.desk.left(passage.txn)
+            desk.left(passage.txn)
             raise
         finally:
-            self.ids.discard(name)
+            ids.discard(name)
         if reply.answer is not None:
             kind, body = reply.answer
             return Whole(200, body, f"Content-Type: {kind}\r\n" if kind else "")
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -9,17 +9,11 @@
 
 from loguru import logger
 
-from drumgw import interface as api
-from drumgw.control import Gatekeeper
 from drumgw.gate.charter import BadCharter, Charter
 from drumgw.gate.clock import Clock, Pulse
-from drumgw.gate.core import Core
-from drumgw.gate.counter import Counter
-from drumgw.gate.desk import Desk
 from drumgw.gate.front import Front
 from drumgw.gate.invariant import broken
-from drumgw.gate.roster import Roster
-from drumgw.gate.workers import Workers
+from drumgw.gate.station import Station
 
 LINGER_MS = 700.0       # after SIGTERM clients still come for so long (the protocol's figure)
 GARBAGE = 20000         # objects between two walks of the collector
@@ -29,20 +23,16 @@
     def __init__(self, charter: Charter) -> None:
         self.charter = charter
         self.pulse = Pulse(Clock(), asyncio.get_running_loop())
-        core = Core(Gatekeeper(charter.seed, charter.terms), charter.terms)
-        self.desk = Desk(core, self.pulse, most=4 * charter.lines)
-        self.workers = Workers(charter, self.desk)
-        self.counter = Counter(charter, self.desk) if charter.counter else None
-        self.roster = Roster(charter, self.desk, self.workers)
+        self.station = station = Station(charter, self.pulse)
+        self.desk, self.workers, self.counter, self.roster = (
+            station.desk, station.workers, station.counter, station.roster)
         self.front = Front(charter, self.desk)
-        self.desk.workers, self.desk.counter = self.workers, self.counter
-        self.workers.heed(self.roster.look)
         self.term = asyncio.Event()
 
     async def open(self) -> tuple[str, int]:
         """Nobody is let in before the agent has spoken: what is known at a start is old (gate/muster.py)."""
         self.pulse.beat()
-        self.desk.post(self.desk.core.start, api.Listed(True, ()))
+        self.station.start()
         await self.front.bind()
         await self.roster.begin()
         place = await self.front.open()
@@ -59,11 +49,7 @@
         end = self.pulse.now() + self.charter.longest_ms
         while self.front.close_idle() and self.pulse.now() < end:   # one read just now is not in hand yet
             await asyncio.sleep(0.01)
-        if self.counter is not None:    # what was leased and not spent goes back; nobody waits for it but us
-            self.desk.post(self.desk.core.ending)
-            end = self.pulse.now() + self.counter.wait_ms
-            while self.counter.waiting and self.pulse.now() < end:
-                await asyncio.sleep(0.005)
+        await self.station.finish()
         await self.front.server.shutdown(0.1)
         await self.shut()
         logger.info("{} ends: {} txns taken, {} left open, invariants broken: {}", self.charter.name,
@@ -76,16 +62,12 @@
         except BadCharter as bad:
             logger.warning("SIGHUP: {}; the old configuration stands", bad)
             return
-        self.roster.move(told.discovery)
-        if self.counter is not None and told.counter is not None:
-            self.counter.move(told.counter)
+        self.station.move(told)
         logger.info("SIGHUP: discovery at {}:{}, counter at {}", *told.discovery,
                     "{}:{}".format(*told.counter) if told.counter else "none")
 
     async def shut(self) -> None:
-        for part in (self.workers, self.counter, self.roster):
-            if part is not None:
-                await part.close()
+        await self.station.shut()
 
 
 async def serve(charter: Charter, again: Callable[[], Charter], early: Sequence[int] = ()) -> None:
--- /dev/null
+++ b/drumgw/gate/station.py
@@ -0,0 +1,51 @@
+"""One service's inner side: the module with its desk, and the adapters to workers, counter and discovery."""
+from __future__ import annotations
+
+import asyncio
+
+from drumgw import interface as api
+from drumgw.control import Gatekeeper
+from drumgw.gate.charter import Charter
+from drumgw.gate.clock import Pulse
+from drumgw.gate.core import Core
+from drumgw.gate.counter import Counter
+from drumgw.gate.desk import Desk
+from drumgw.gate.roster import Roster
+from drumgw.gate.workers import Workers
+
+
+class Station:
+    def __init__(self, charter: Charter, pulse: Pulse) -> None:
+        self.charter, self.pulse = charter, pulse
+        core = Core(Gatekeeper(charter.seed, charter.terms), charter.terms)
+        self.desk = Desk(core, pulse, most=4 * charter.lines)
+        self.workers = Workers(charter, self.desk)
+        self.counter = Counter(charter, self.desk) if charter.counter else None
+        self.roster = Roster(charter, self.desk, self.workers)
+        self.desk.workers, self.desk.counter = self.workers, self.counter
+        self.workers.heed(self.roster.look)
+
+    def start(self) -> None:
+        """Before anything else of it; it knows no worker yet."""
+        self.desk.post(self.desk.core.start, api.Listed(True, ()))
+
+    def move(self, told: Charter) -> None:
+        """Discovery and the counter are asked there; the list, the books and all in hand stay as they are."""
+        self.roster.move(told.discovery)
+        if self.counter is not None and told.counter is not None:
+            self.counter.move(told.counter)
+
+    async def finish(self) -> None:
+        """What was leased and not spent goes back, once nothing is in hand; nobody waits for it but us."""
+        if self.counter is None:
+            return
+        self.desk.post(self.desk.core.ending)
+        end = self.pulse.now() + self.counter.wait_ms
+        while self.counter.waiting and self.pulse.now() < end:
+            await asyncio.sleep(0.005)
+
+    async def shut(self) -> None:
+        self.desk.close()
+        for part in (self.workers, self.counter, self.roster):
+            if part is not None:
+                await part.close()
--- /dev/null
+++ b/drumgw/host/__init__.py
@@ -0,0 +1,1 @@
+"""Many tenants in one process, with an administration API (docs/tenants.md)."""
--- /dev/null
+++ b/drumgw/host/front.py
@@ -0,0 +1,53 @@
+"""The clients' side of a host: finds the tenant, then its desk; the connections are the gate's own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, cast
+
+from aiohttp.web_request import BaseRequest
+from loguru import logger
+
+from drumgw.gate.clock import Pulse
+from drumgw.gate.door import Unfit
+from drumgw.gate.front import Client, Front, Whole
+from drumgw.host.hosting import Hosting
+
+
+@dataclass(frozen=True)
+class Doorway:
+    listen: tuple[str, int]
+    clients: int
+    asking: int
+
+
+class Porter:
+    """What the front needs of a desk beside the txns."""
+
+    def __init__(self, pulse: Pulse) -> None:
+        self.pulse, self.loop = pulse, pulse.loop
+
+    def complain(self, error: Exception, where: str) -> None:
+        logger.opt(exception=error).error("fault in {}: {!r}", where, error)
+
+
+class HostFront(Front):
+    def __init__(self, doorway: Doorway, hosting: Hosting) -> None:
+        super().__init__(cast(Any, doorway), cast(Any, Porter(hosting.pulse)))
+        self.hosting = hosting
+
+    async def serve(self, request: BaseRequest, target: str, client: Client) -> Whole:
+        found = self.hosting.registry.routes.find(request.headers.get("Host"), target)
+        if found is None:
+            raise Unfit(404, "no tenant is served there")
+        seat, wait_ms = self.hosting.take(found.tenant)
+        if seat is None:
+            await self.read(request)
+            return Whole(503, b"", f"Retry-After: {wait_ms / 1000:.3f}\r\n")
+        try:
+            station = seat.station
+            return await self.pass_on(
+                request, target, found.path, client, station.charter, station.desk, seat.ids
+            )
+        finally:
+            self.hosting.give(seat)
--- /dev/null
+++ b/drumgw/papers/house.py
@@ -0,0 +1,154 @@
+"""The operator's file of a host (version 1), and what a tenant is made of; the API takes the same in JSON."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+from typing import Annotated, Any, Literal
+
+from pydantic import Field, model_validator
+
+from drumgw.gate.charter import Charter, charter_of
+from drumgw.papers.office import Address, Limits, Log, Worker
+from drumgw.papers.parts import Allowed, Count, Name, Part, Plan, Product, Rules, settings, twice
+from drumgw.papers.reading import read
+
+VERSION = 1
+Host = Annotated[str, Field(pattern=r"^([a-z0-9_-]{1,63}(\.[a-z0-9_-]{1,63}){0,9})?$")]
+Prefix = Annotated[str, Field(pattern=r"^(/[A-Za-z0-9._~-]{1,64}){0,8}$")]
+TenantName = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9-]{0,22}[a-z0-9])?$")]
+
+
+class Way(Part):
+    """A route: any host where it is empty, all paths where that is."""
+
+    host: Host = ""
+    path: Prefix = ""
+
+
+class Spec(Part):
+    """What a tenant is made of."""
+
+    route: Annotated[list[Way], Field(min_length=1, max_length=64)]
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+    discovery: Address
+    counter: Address | None = None
+    zone: Name = "a"
+    zones: Annotated[list[Name], Field(min_length=1, max_length=64)] = ["a"]
+    rules: Rules = Rules()
+    allowed: Allowed = Allowed()
+    product: Annotated[list[Product], Field(min_length=1, max_length=64)]
+    plan: Annotated[list[Plan], Field(min_length=1, max_length=64)]
+    worker: Annotated[list[Worker], Field(max_length=4096)] = []
+
+    @model_validator(mode="after")
+    def fits(self) -> Spec:
+        twice([each.name for each in self.product], "product")
+        twice([each.name for each in self.plan], "plan")
+        twice([each.id for each in self.worker], "worker")
+        twice([f"{each.host}{each.path}" for each in self.route], "route")
+        if self.zone not in self.zones:
+            raise ValueError(f"zone {self.zone!r} is none of zones")
+        return self
+
+
+class Named(Spec):
+    """A tenant as a file or a create gives it."""
+
+    name: TenantName
+
+    def spec(self) -> dict[str, Any]:
+        told = self.model_dump(mode="json")
+        del told["name"]
+        return told
+
+
+class HostPart(Part):
+    name: Name
+    listen: Address
+    api: Address = "127.0.0.1:9090"
+    api_beyond_loopback: bool = False  # says that a proxy which speaks TLS stands before it
+    state: str | None = None  # a folder that lasts; none: tenants come from this file, the API reads only
+    ordinal: Annotated[int, Field(ge=0)] = 0
+    gatekeepers: Count = 1
+    txns: Annotated[int, Field(ge=2, le=10**6)] | None = None  # open at once; none: a third of the sockets
+
+    @model_validator(mode="after")
+    def fits(self) -> HostPart:
+        if self.ordinal >= self.gatekeepers:
+            raise ValueError(f"ordinal {self.ordinal} counts from 0 and there are {self.gatekeepers}")
+        if not self.api_beyond_loopback and not self.api.startswith("127."):
+            raise ValueError("api is beyond loopback: tokens pass in the clear; see api_beyond_loopback")
+        return self
+
+
+class TokenPart(Part):
+    id: Name
+    role: Literal["operator", "tenant"]
+    tenant: TenantName | None = None
+    sha256: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+    @model_validator(mode="after")
+    def fits(self) -> TokenPart:
+        if (self.role == "tenant") != (self.tenant is not None):
+            raise ValueError("role tenant names its tenant, role operator none")
+        return self
+
+
+class House(Part):
+    version: Literal[1]
+    host: HostPart
+    limits: Limits = Limits()
+    log: Log = Log()
+    token: Annotated[list[TokenPart], Field(max_length=4096)] = []
+    tenant: list[Named] = []
+
+    @model_validator(mode="after")
+    def fits(self) -> House:
+        twice([each.name for each in self.tenant], "tenant")
+        twice([each.id for each in self.token], "token")
+        return self
+
+
+def read_house(path: str) -> House:
+    return read(path, House, VERSION)
+
+
+def tenant_charter(house: House, name: str, serial: int, spec: Spec, lines: int) -> Charter:
+    """A gatekeeper's charter, without a front of its own. Its counts bear its serial number: a name that is
+    removed and made anew, or two tenants with customers of one number, share none."""
+    rows = [
+        {
+            "instanceId": w.id,
+            "hostPort": w.address,
+            "zone": w.zone,
+            "machineType": w.kind,
+            "cell": w.cell,
+            "lifecycle": "up",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+        for w in spec.worker
+    ]
+    told = {
+        "name": name,
+        "listen": "127.0.0.1:0",
+        "discovery": spec.discovery,
+        "counter": spec.counter,
+        "seed": secrets.token_hex(8),
+        "limits": {"sockets": 1024},
+        "known": {"generation": 0, "reset": True, "instances": rows},
+        "settings": settings(
+            list(spec.product),
+            list(spec.plan),
+            spec.rules,
+            spec.allowed,
+            list(spec.zones),
+            spec.zone,
+            house.host.gatekeepers,
+            house.host.ordinal,
+            spec.counter is not None,
+        ),
+    }
+    charter = charter_of(told, {}, name)
+    return dataclasses.replace(charter, lines=max(2, lines), prefix=f"{name}-{serial}-")
