The laboratory takes for told what the agent has; hosted tenants' lines and connections are their own

Tried as a new user, a host's log had lines of which nobody could tell whose list they were about; and idle connections of one tenant's clients could push out another's.

Change. lab/registry.py: what a gatekeeper's agent has binds, from the moment of a process's start; answers are as that agent has the list, not newer. The virtual gatekeepers wait for their agent, ask a silent one anew and look before a first byte, as the real ones do.

Hosts: workers that reset, fail, send noise or say nothing, a discovery that is silent, beside sound ones; idle connections; every line names its tenant; SIGTERM in the midst of a change.

--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -36,6 +36,7 @@
     idle_ms: float          # a connection to a worker is kept this long at most
     connect_ms: float
     prefix: str = ""        # of the names of its counts, where several share a counter
+    said: str = ""          # before its lines in the log, where several write one
 
     @property
     def longest_ms(self) -> float:
--- a/drumgw/gate/desk.py
+++ b/drumgw/gate/desk.py
@@ -30,8 +30,8 @@
 
 
 class Desk:
-    def __init__(self, core: Core, pulse: Pulse, most: int) -> None:
-        self.core, self.pulse, self.loop = core, pulse, pulse.loop
+    def __init__(self, core: Core, pulse: Pulse, most: int, said: str = "") -> None:
+        self.core, self.pulse, self.loop, self.said = core, pulse, pulse.loop, said
         self.workers: Workers | None = None     # set before the first txn
         self.counter: Counter | None = None
         self.most = most
@@ -153,7 +153,7 @@
         self.complain(fault.error, "the module")
 
     def complain(self, error: Exception, where: str) -> None:
-        logger.opt(exception=error).error("fault in {}: {!r}", where, error)
+        logger.opt(exception=error).error("{}fault in {}: {!r}", self.said, where, error)
 
     def on_say(self, line: api.Say) -> None:
-        logger.info("{}", line.text)
+        logger.info("{}{}", self.said, line.text)
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -52,11 +52,12 @@
 class Client(RequestHandler):
     """A client's connection, with the time of its last change of stage."""
 
-    __slots__ = ("front", "stage", "since")
+    __slots__ = ("front", "stage", "since", "owner")
 
     def __init__(self, front: Front, server: Server, **kwargs: Any) -> None:
         super().__init__(server, **kwargs)
         self.front, self.stage, self.since = front, Stage.NEW, front.desk.pulse.now()
+        self.owner = ""     # whom it asked last, where a front serves several
 
     def move(self, stage: Stage) -> None:
         stages = self.front.stages
@@ -71,6 +72,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.front.stages[self.stage].pop(self, None)
+        self.front.gone(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -150,6 +152,9 @@
             self.least(client).end()
         self.stages[Stage.NEW][client] = None
 
+    def gone(self, client: Client) -> None:
+        """Its connection has ended."""
+
     def crowd(self) -> int:
         return sum(map(len, self.stages.values()))
 
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -62,8 +62,8 @@
             async with asyncio.timeout(SILENT_START_MS / 1000):
                 await self.spoke.wait()
         except TimeoutError:
-            logger.warning("discovery was silent for {:.0f} s from the start: the known list stands in",
-                           SILENT_START_MS / 1000)
+            logger.warning("{}discovery was silent for {:.0f} s from the start: the known list stands in",
+                           self.desk.said, SILENT_START_MS / 1000)
             self.act(self.muster.stand_in(self.charter.known), "list known")
 
     async def close(self) -> None:
@@ -173,15 +173,15 @@
     def log(self, change: Change, how: str) -> None:
         for health, names in change.told.items():
             numbered = ", ".join(f"{worker_id(name)} ({name})" for name in names)
-            logger.info("{}: {} now {}: {}", how, len(names), health.value, numbered)
+            logger.info("{}{}: {} now {}: {}", self.desk.said, how, len(names), health.value, numbered)
         if change.unread != self.unread:
             self.unread = change.unread
-            logger.warning("{} rows of the worker list cannot be read; those workers stay as they were",
-                           change.unread)
+            logger.warning("{}{} rows of the worker list cannot be read; those workers stay as they were",
+                           self.desk.said, change.unread)
         if self.muster.behind is not self.behind:
             self.behind = self.muster.behind
-            logger.warning("the agent's list is {}", "older than what is known: only who leaves is heeded"
-                           if self.behind else "in step again")
+            mode = "older than what is known: only who leaves is heeded" if self.behind else "in step again"
+            logger.warning("{}the agent's list is {}", self.desk.said, mode)
 
     def hear(self, error: BaseException | None) -> None:
         """A line for each change of mode; a silent watch that ends in time is no loss."""
@@ -189,9 +189,9 @@
             return
         self.heard = error is None
         if error is None:
-            logger.info("discovery heard")
+            logger.info("{}discovery heard", self.desk.said)
         else:
-            logger.warning("discovery lost: {}; {}", error or type(error).__name__,
+            logger.warning("{}discovery lost: {}; {}", self.desk.said, error or type(error).__name__,
                            "the last list stands" if self.spoke.is_set() else "nobody is let in yet")
 
 
--- a/drumgw/gate/station.py
+++ b/drumgw/gate/station.py
@@ -18,7 +18,7 @@
     def __init__(self, charter: Charter, pulse: Pulse) -> None:
         self.charter, self.pulse = charter, pulse
         core = Core(Gatekeeper(charter.seed, charter.terms), charter.terms)
-        self.desk = Desk(core, pulse, most=4 * charter.lines)
+        self.desk = Desk(core, pulse, 4 * charter.lines, charter.said)
         self.workers = Workers(charter, self.desk)
         self.counter = Counter(charter, self.desk) if charter.counter else None
         self.roster = Roster(charter, self.desk, self.workers)
--- a/drumgw/host/front.py
+++ b/drumgw/host/front.py
@@ -8,9 +8,9 @@
 from aiohttp.web_request import BaseRequest
 from loguru import logger
 
-from drumgw.gate.clock import Pulse
+from drumgw.gate.clock import LATE_MS, Pulse
 from drumgw.gate.door import Unfit
-from drumgw.gate.front import Client, Front, Whole
+from drumgw.gate.front import Client, Front, Stage, Whole
 from drumgw.host.hosting import Hosting
 
 
@@ -35,6 +35,35 @@
     def __init__(self, doorway: Doorway, hosting: Hosting) -> None:
         super().__init__(cast(Any, doorway), cast(Any, Porter(hosting.pulse)))
         self.hosting = hosting
+        self.held: dict[str, int] = {}  # connections by whom they asked last; emptied as they close
+
+    # Connections
+
+    def own(self, client: Client, key: str) -> None:
+        if client.owner != key:
+            self.gone(client)
+            client.owner, self.held[key] = key, self.held.get(key, 0) + 1
+
+    def gone(self, client: Client) -> None:
+        if client.owner:
+            self.held[client.owner] -= 1
+            if not self.held[client.owner]:
+                del self.held[client.owner]
+            client.owner = ""
+
+    def longest_idle(self) -> Client | None:
+        """Guards tenants whose clients keep few connections: who keeps more than its part loses one first."""
+        weights, now = self.hosting.weights, self.desk.pulse.now()
+        all_of_them = sum(weights.values()) or 1.0
+        for client in self.stages[Stage.IDLE]:
+            if now - client.since <= LATE_MS:
+                break
+            part = self.charter.clients * weights.get(client.owner, 0.0) / all_of_them
+            if self.held.get(client.owner, 0) > part:
+                return client
+        return super().longest_idle()
+
+    # Requests
 
     async def serve(self, request: BaseRequest, target: str, client: Client) -> Whole:
         found = self.hosting.registry.routes.find(request.headers.get("Host"), target)
@@ -44,6 +73,7 @@
         if seat is None:
             await self.read(request)
             return Whole(503, b"", f"Retry-After: {wait_ms / 1000:.3f}\r\n")
+        self.own(client, seat.key)
         try:
             station = seat.station
             return await self.pass_on(
--- a/drumgw/lab/registry.py
+++ b/drumgw/lab/registry.py
@@ -1,4 +1,7 @@
-"""A stand-in discovery: one list of workers, told to each gatekeeper late, or not at all."""
+"""A stand-in discovery: one list of workers, told to each gatekeeper late, or not at all.
+
+What a gatekeeper's agent has counts as told, from the first moment of a new process, read or not.
+"""
 
 from __future__ import annotations
 
@@ -21,7 +24,7 @@
         self.generation = 1
         self.rows: dict[str, dict[str, Any]] = {}  # the list; emptied as workers go
         self.gone: dict[str, dict[str, Any]] = {}  # last rows of those that went; a day has few
-        self.changes: list[tuple[int, str]] = []  # the last KEPT
+        self.changes: list[tuple[int, str, dict[str, Any]]] = []  # the last KEPT, and what each said
         self.seen = [1] * gatekeepers  # the generation that each one's agent has
         self.knows: list[dict[str, str]] = [{} for _ in range(gatekeepers)]  # what each was told
         self.late_ms, self.lost = 0.0, False
@@ -50,7 +53,8 @@
     def change(self, name: str) -> None:
         """Each agent hears of it after a time of its own."""
         self.generation += 1
-        self.changes = [*self.changes[1 - KEPT :], (self.generation, name)]
+        row = self.rows.get(name) or self.gone[name]
+        self.changes = [*self.changes[1 - KEPT :], (self.generation, name, row)]
         generation = self.generation
         for gate in range(len(self.seen)):
             delay = self.kind.delay_ms + self.late_ms + self.chance.uniform(0, self.kind.spread_ms)
@@ -60,7 +64,8 @@
         if self.lost:  # the agent asks again by itself
             self.clock.at(self.clock.now() + 100.0, lambda: self.reach(gate, generation))
             return
-        self.seen[gate] = max(self.seen[gate], generation)
+        before, self.seen[gate] = self.seen[gate], max(self.seen[gate], generation)
+        self.note(gate, [row for g, _, row in self.changes if before < g <= self.seen[gate]], whole=False)
         waiting, self.waiting[gate] = self.waiting[gate], None
         if waiting is not None:
             waiting()
@@ -80,16 +85,33 @@
             return None
         oldest = self.changes[0][0] if self.changes else 0
         if since is None or since < oldest - 1:
-            return {**self.whole(), "generation": seen}
-        names = list(dict.fromkeys(n for g, n in self.changes if since < g <= seen))
-        rows = [self.rows.get(n) or self.gone[n] for n in names]
-        return {"generation": seen, "reset": False, "instances": rows}
-
-    def note(self, gate: int, told: dict[str, Any]) -> None:
-        """It was written to the gatekeeper: from now on that binds."""
-        states = {row["instanceId"]: (row["lifecycle"], row["startedAtMs"]) for row in told["instances"]}
+            return {"generation": seen, "reset": True, "instances": self.had(gate)}
+        rows = {name: row for g, name, row in self.changes if since < g <= seen}
+        return {"generation": seen, "reset": False, "instances": list(rows.values())}
+
+    def had(self, gate: int) -> list[dict[str, Any]]:
+        """The whole list as its agent has it: what it has not got yet is undone."""
+        rows, late = dict(self.rows), set[str]()
+        for generation, name, row in reversed(self.changes):
+            if generation > self.seen[gate]:
+                rows.pop(name, None)
+                late.add(name)
+            elif name in late:
+                late.discard(name)
+                if row["lifecycle"] != "removed":
+                    rows[name] = row
+        return list(rows.values())
+
+    def starts(self, gate: int) -> None:
+        """A new process: what its agent has binds it at once. Call after its start was recorded."""
+        self.knows[gate].clear()
+        self.note(gate, self.had(gate), whole=True)
+
+    def note(self, gate: int, rows: list[dict[str, Any]], whole: bool) -> None:
+        """Its agent has it: from now on that binds."""
+        states = {row["instanceId"]: (row["lifecycle"], row["startedAtMs"]) for row in rows}
         knew = self.knows[gate]
-        if told["reset"]:
+        if whole:
             states |= {name: ("removed", 0.0) for name in knew if name not in states}
         for name, (state, born) in states.items():
             if knew.get(name) != f"{state}/{born}":
--- a/drumgw/lab/servers.py
+++ b/drumgw/lab/servers.py
@@ -159,7 +159,6 @@
 
     def tell(self, told: dict[str, Any]) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            self.lab.world.registry.note(self.gate, told)
             rows = [
                 {**row, "hostPort": self.lab.address(self.gate, row["instanceId"])}
                 for row in told["instances"]
--- a/drumgw/lab/sockets.py
+++ b/drumgw/lab/sockets.py
@@ -87,7 +87,7 @@
                 start_new_session=True,
             )
         self.lab.record.add(self.lab.clock.now(), "gate", gate=self.number, state="starts")
-        self.lab.world.registry.note(self.number, self.lab.known)
+        self.lab.world.registry.starts(self.number)
         self.lab.spawn(self.watch(self.process))
         self.ready = await self.wait_ready(self.process)
         if self.ready:
--- a/drumgw/lab/virtual.py
+++ b/drumgw/lab/virtual.py
@@ -16,6 +16,7 @@
 from drumgw.gate.core import Alarm, Core, Effect, Fault, Keeper, Reply, Send, Stop
 from drumgw.gate.gateway import LINGER_MS
 from drumgw.gate.muster import STATES, worker_id
+from drumgw.gate.roster import SCOUT_MS
 from drumgw.interface import End, Health
 from drumgw.lab.clients import TERM_SEEN_MS, Try
 from drumgw.lab.clocks import Handle, VirtualClock
@@ -50,7 +51,7 @@
 class Gate:
     """One gatekeeper: a core, and its adapters as far as they decide nothing."""
 
-    def __init__(self, runner: Virtual, number: int, seed: int, known: dict[str, Any]) -> None:
+    def __init__(self, runner: Virtual, number: int, seed: int) -> None:
         self.runner, self.world, self.clock, self.number = runner, runner.world, runner.clock, number
         terms, self.names = read_terms(self.world.settings(number))
         self.core = Core(runner.make(seed, terms), terms)
@@ -61,8 +62,8 @@
         self.tries: dict[int, Try] = {}  # txns in hand; emptied by replies
         self.txns: dict[str, int] = {}  # the same, by name
         self.alive, self.closing, self.paused_until = True, False, 0.0
-        self.generation = known["generation"]
-        self.carry(self.core.start(self.clock.now(), self.read(known)))
+        self.generation: int | None = None  # none: its agent was not heard yet
+        self.carry(self.core.start(self.clock.now(), api.Listed(True, ())))
 
     # Time: what reaches a gatekeeper that stands waits until it runs again
 
@@ -84,10 +85,6 @@
 
     # The list
 
-    def read(self, told: dict[str, Any]) -> api.Listed:
-        self.world.registry.note(self.number, told)
-        return self.heed(told)
-
     def heed(self, told: dict[str, Any]) -> api.Listed:
         entries, named = [], set[int]()
         for row in told["instances"]:
@@ -125,15 +122,23 @@
             del self.listed[number]
 
     def hear(self) -> None:
-        """The watch: answered when there is news, and at once asked again."""
+        """The watch: answered when there is news, and at once asked again; a silent agent is asked anew."""
         if not self.alive:
             return
         registry = self.world.registry
-        told = registry.news(self.number, self.generation)
-        if told is not None:
-            self.carry(self.core.listed(self.clock.now(), self.read(told)))
+        if registry.lost:
+            self.after(SCOUT_MS, self.hear)
+            return
+        self.look()
         registry.waiting[self.number] = partial(self.when_running, self.hear)
 
+    def look(self) -> None:
+        """What the agent has is read before anything is sent."""
+        registry = self.world.registry
+        told = None if registry.lost else registry.news(self.number, self.generation)
+        if told is not None:
+            self.carry(self.core.listed(self.clock.now(), self.heed(told)))
+
     # Effects
 
     def carry(self, effects: list[Effect]) -> None:
@@ -247,6 +252,7 @@
         self.clock.at(self.clock.now() + way, arrives)
 
     def write(self, key: tuple[int, int], sent: Sent, way: float) -> None:
+        self.look()
         if self.sent.get(key) is not sent:
             sent.worker.closed(self.number)
             return
@@ -335,7 +341,6 @@
         for worker in self.world.workers.values():
             worker.lines.pop(self.number, None)
         self.world.registry.waiting[self.number] = None
-        self.world.registry.knows[self.number].clear()
         for one in list(self.tries.values()):
             self.clock.at(
                 self.clock.now() + self.world.day.fleet.client_ms, partial(self.world.clients.closed, one)
@@ -356,7 +361,7 @@
         self.world = World(day, seed, self.clock, self.record)
         self.world.keepers = self.world.clients.gates = self
         self.chance = self.world.book.chance("gatekeepers")
-        self.known = self.world.registry.first()
+        self.world.registry.first()
         self.gates = [self.new(number) for number in range(day.fleet.gatekeepers)]
 
     def run(self) -> Record:
@@ -370,7 +375,8 @@
 
     def new(self, number: int) -> Gate:
         self.record.add(self.clock.now(), "gate", gate=number, state="starts")
-        return self.gate_kind(self, number, self.chance.getrandbits(63), self.known)
+        self.world.registry.starts(number)
+        return self.gate_kind(self, number, self.chance.getrandbits(63))
 
     # The clients' port
 
@@ -432,7 +438,14 @@
     def again(self, number: int) -> None:
         gate = self.gates[number] = self.new(number)
         gate.hear()
-        self.clock.at(self.clock.now() + READY_MS, lambda: self.world.clients.front(number, True))
+        self.clock.at(self.clock.now() + READY_MS, lambda: self.let_in(gate))
+
+    def let_in(self, gate: Gate) -> None:
+        """Nobody before its agent has spoken."""
+        if gate.generation is None and gate.alive:
+            self.clock.at(self.clock.now() + SCOUT_MS, lambda: self.let_in(gate))
+        elif gate.alive:
+            self.world.clients.front(gate.number, True)
 
     def pause(self, number: int, for_ms: float) -> None:
         self.record.add(self.clock.now(), "gate", gate=number, state="paused", ms=for_ms)
--- a/drumgw/papers/house.py
+++ b/drumgw/papers/house.py
@@ -151,4 +151,5 @@
         ),
     }
     charter = charter_of(told, {}, name)
-    return dataclasses.replace(charter, lines=max(2, lines), prefix=f"{name}-{serial}-")
+    prefix, said = f"{name}-{serial}-", f"tenant {name}: "
+    return dataclasses.replace(charter, lines=max(2, lines), prefix=prefix, said=said)
--- a/examples/host_cost.py
+++ b/examples/host_cost.py
@@ -19,7 +19,7 @@
 
 from aiohttp import web
 
-NUMBERS, LINES = (1, 20, 200), 16
+NUMBERS, LINES, IDLE_S = (1, 20, 200), 16, 4.0
 TICK = os.sysconf("SC_CLK_TCK")
 PRODUCT = {"name": "preview", "sla_ms": 3000.0, "expiry_ms": 10000.0, "repeat": "inquiry-like"}
 PLAN = {"name": "basic", "units_per_s": 100000.0, "burst_units": 100000.0}
@@ -94,6 +94,8 @@
             line = await run.stderr.readline()
             assert line, "it ended early"
             ready += b": serves" in line
+        started, _ = cost(run.pid)
+        await asyncio.sleep(IDLE_S)
         began, memory = cost(run.pid)
         served = sum(await asyncio.gather(*(ask(tenants, line, txns // LINES) for line in range(LINES))))
         ended, after = cost(run.pid)
@@ -102,7 +104,7 @@
     asked = txns // LINES * LINES
     return (f"{tenants:4} tenants: {memory:6.1f} MB idle, {after:6.1f} MB after; "
             f"{(ended - began) / asked:5.2f} ms of CPU a txn, {served} of {asked} served; "
-            f"start {began:.0f} ms")
+            f"idle {(began - started) / IDLE_S:.0f} ms of CPU a second, start {started:.0f} ms")
 
 
 async def main() -> None:
--- a/tests/labour.py
+++ b/tests/labour.py
@@ -181,6 +181,22 @@
         return super().heed({**told, "instances": rows, "reset": False})
 
 
+class Eager(Gate):
+    """Goes by the list of the day's beginning for its first second, as a start without its agent's word."""
+
+    def __init__(self, runner: Virtual, number: int, seed: int) -> None:
+        super().__init__(runner, number, seed)
+        self.eager_until = self.clock.now() + 1000.0
+        first = [row for row in self.world.registry.rows.values() if not row["startedAtMs"]]
+        rows = [{**row, "lifecycle": "up"} for row in first]
+        told = {"generation": 0, "reset": True, "instances": rows}
+        self.carry(self.core.listed(self.clock.now(), self.heed(told)))
+
+    def look(self) -> None:
+        if self.clock.now() >= self.eager_until:
+            super().look()
+
+
 class Loser(Gate):
     """Forgets to answer now and then."""
 
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -8,6 +8,7 @@
 import pathlib
 import re
 import tempfile
+import threading
 import unittest
 from typing import Any
 from unittest import mock
@@ -19,8 +20,10 @@
 from drumgw.gate.charter import BadCharter
 from drumgw.host.access import hash_of
 from drumgw.host.api import LIST, MOST_BODY, MOST_CALLS
+from drumgw.host.front import Doorway
 from drumgw.host.openapi import document, statuses
 from drumgw.host.service import Service
+from drumgw.host.store import Store
 from drumgw.papers.house import House
 from tests.stage import StandIn, http, read_message
 from tests.test_gate import GateCase, instance
@@ -138,7 +141,7 @@
         sink = logger.add(lambda line: said.append(str(line)), format="{message}")
         self.addCleanup(logger.remove, sink)
         await self.host(*specs)
-        answers = await asyncio.gather(*(self.at(name) for name in names for _ in range(1)))
+        answers = await asyncio.gather(*(self.at(name) for name in names))
         self.assertEqual(answers, [(200, name.encode()) for name in names])
         for _ in range(5):      # one tenant's customer uses its quota up; its namesakes are served
             await self.at("t3", Request_Id="again", Quota_Info="units=2,spread=1,first=0")
@@ -150,9 +153,54 @@
         async with asyncio.timeout(20):     # the last of them may still be on their way
             while {name.split("-")[0] for name in totals} != set(names):
                 await asyncio.sleep(0.001)
-        lines = [line for line in said if line.startswith("tenant ")]
+        lines = [line for line in said if not line.startswith(("host ", "stood still"))]
+        self.assertTrue(all(re.match(r"tenant t\d+: ", line) for line in lines), lines)
         self.assertEqual({line.split()[1].rstrip(":") for line in lines}, set(names))
 
+    async def test_troubles_of_some_reach_no_other(self) -> None:
+        """Workers that reset, fail, send noise or say nothing, a silent discovery, beside sound ones."""
+        def noise(head: bytes, body: bytes) -> bytes:
+            return b"\x00\x01 no answer\r\n\r\n"
+        troubles: dict[str, Any] = {"t0": b"", "t1": http(status=500), "t2": noise, "t3": lambda *came: None}
+        specs = [await self.tenant(f"t{n}", troubles.get(f"t{n}")) for n in range(12)]
+        dumb = await self.stand_in(None)
+        specs[4] = {**specs[4], "discovery": dumb.address}
+        with mock.patch.object(HostCase, "ready", mock.AsyncMock()):
+            service = await self.host(*specs)
+        while sum(seat.ready for seat in service.hosting.seats.values()) < 11:
+            await asyncio.sleep(0.001)
+        for n in range(6):      # one id at all of them at the same time
+            names = [f"t{m}" for m in range(12) for _ in range(1 + (m < 5))]
+            found = await asyncio.gather(*(self.at(name, Request_Id=f"{n}-{k % 2}", Request_Timeout="300m")
+                                           for k, name in enumerate(names)))
+            for name, (status, body) in zip(names, found, strict=True):
+                if int(name[1:]) > 4:
+                    self.assertEqual((status, body), (200, name.encode()))
+                else:
+                    self.assertNotEqual(status, 200, name)
+        self.assertEqual({name: len(self.workers[name].came) for name in self.workers if int(name[1:]) > 4},
+                         {f"t{n}": 6 for n in range(5, 12)})
+        self.assertEqual(self.workers["t4"].came, [])      # nobody is let in before its discovery spoke
+
+    async def test_idle_connections_of_one_do_not_push_out_another_s(self) -> None:
+        service = await self.host(await self.tenant("t1"), await self.tenant("t2"))
+        front = service.front
+        front.charter = Doorway(("127.0.0.1", 0), 10, 8)   # type: ignore[assignment]
+        quiet = await self.connect()
+        ask = b"GET " + TARGET.encode() + b" HTTP/1.1\r\nHost: %s.example\r\nRequest-Id: %d\r\nPlan: p\r\n" \
+            b"Request-Timeout: 900m\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n"
+        quiet[1].write(ask % (b"t2", 1))
+        self.assertIn(b" 200 ", (await read_message(quiet[0]))[0])
+        with mock.patch("drumgw.host.front.LATE_MS", -1.0), mock.patch("drumgw.gate.front.LATE_MS", -1.0):
+            for n in range(40):
+                reader, writer = await self.connect()
+                writer.write(ask % (b"t1", n + 2))
+                self.assertIn(b" 200 ", (await read_message(reader))[0])
+        self.assertEqual(front.held["t2#2"], 1)
+        self.assertLessEqual(front.held["t1#1"], 9)
+        quiet[1].write(ask % (b"t2", 99))
+        self.assertIn(b" 200 ", (await read_message(quiet[0]))[0])
+
     async def test_one_that_rushes_onto_stalled_workers_takes_nothing_of_the_others(self) -> None:
         stalled = await self.tenant("t1", answer=lambda head, body: None)
         held = [await self.tenant("t2"), await self.tenant("t3")]
@@ -430,6 +478,30 @@
         self.assertEqual(await self.at("t1"), (200, b"t1"))
         self.assertEqual((await self.call("GET", "/v1/tenants/t1"))[1]["state"], "active")
 
+    async def test_told_to_end_in_the_midst_of_a_change(self) -> None:
+        """The change that is being kept is made, or not at all; what is read then is one of the two."""
+        folder = self.folder()
+        service = await self.host(await self.tenant("t1"), state=folder)
+        assert service.store is not None
+        begun, go_on, save = threading.Event(), threading.Event(), service.store.save
+
+        def slow(content: Any) -> None:
+            begun.set()
+            go_on.wait(20)
+            save(content)
+        with mock.patch.object(service.store, "save", slow), mock.patch("drumgw.host.service.LINGER_MS", 0.0):
+            changing = asyncio.create_task(self.call("POST", "/v1/tenants/t1/suspend", If_Match='"1"'))
+            await asyncio.to_thread(begun.wait)
+            closing = asyncio.create_task(service.close())
+            await asyncio.sleep(0)
+            go_on.set()
+            await closing
+            changed = (await asyncio.gather(changing, return_exceptions=True))[0]
+        kept, _ = Store(folder).load()
+        states = [row[3] for row in kept["tenants"]] if kept else ["active"]
+        self.assertEqual(states, ["suspended"])
+        self.assertEqual(changed[0] if isinstance(changed, tuple) else 200, 200)
+
     async def test_without_a_folder_the_api_reads_only_and_says_so(self) -> None:
         await self.host(await self.tenant("t1"), state=None)
         status, told, _ = await self.call("DELETE", "/v1/tenants/t1", If_Match='"1"')
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -137,6 +137,23 @@
             self.rules(day('kind = "drain"; at_s = 1; part = 0.4'), gate=labour.Deaf), {"drains"}
         )
 
+    def test_a_start_that_does_not_wait_for_its_agent(self) -> None:
+        """What the agent has counts from a process's first moment, read or not."""
+        of = day('kind = "drain"; at_s = 1; part = 0.4', 'kind = "kill"; at_s = 1.4; part = 1', seconds=5)
+        self.assertEqual(self.rules(of, gate=labour.Eager), {"drains"})
+
+    def test_starts_while_discovery_is_silent_wait_for_it(self) -> None:
+        of = day(
+            'kind = "list lost"; at_s = 1; for_s = 2',
+            'kind = "replace"; at_s = 1.2; part = 0.5',
+            'kind = "kill"; at_s = 1.3; part = 0.7',
+            seconds=6,
+        )
+        for seed in (1, 2, 3):
+            record, breaches = play(of, seed)
+            self.assertEqual(breaches, [])
+            self.assertGreater(figures(record, of)["whole"]["served"], 0.3)
+
     def test_a_loser(self) -> None:
         self.assertEqual(self.rules(day(), gate=labour.Loser), {"lost"})
 
