--- a/drumgw/papers/house.py
+++ b/drumgw/papers/house.py
@@ -9,7 +9,7 @@
 from pydantic import Field, model_validator
 
 from drumgw.gate.charter import Charter, charter_of
-from drumgw.papers.office import Address, Limits, Log, Worker
+from drumgw.papers.office import Address, Limits, Log, Worker, known
 from drumgw.papers.parts import Allowed, Count, Name, Part, Plan, Product, Rules, settings, twice
 from drumgw.papers.reading import read
 
@@ -117,19 +117,6 @@
 def tenant_charter(house: House, name: str, serial: int, spec: Spec, lines: int) -> Charter:
     """A gatekeeper's charter, without a front of its own. Its counts bear its serial number: a name that is
     removed and made anew, or two tenants with customers of one number, share none."""
-    rows = [
-        {
-            "instanceId": w.id,
-            "hostPort": w.address,
-            "zone": w.zone,
-            "machineType": w.kind,
-            "cell": w.cell,
-            "lifecycle": "up",
-            "weight": 1.0,
-            "startedAtMs": 0,
-        }
-        for w in spec.worker
-    ]
     told = {
         "name": name,
         "listen": "127.0.0.1:0",
@@ -137,7 +124,7 @@
         "counter": spec.counter,
         "seed": secrets.token_hex(8),
         "limits": {"sockets": 1024},
-        "known": {"generation": 0, "reset": True, "instances": rows},
+        "known": known(spec.worker),
         "settings": settings(
             list(spec.product),
             list(spec.plan),
--- a/drumgw/papers/office.py
+++ b/drumgw/papers/office.py
@@ -97,9 +97,8 @@
     return read(path, Office, VERSION)
 
 
-def configuration(office: Office) -> dict[str, Any]:
-    """What GW_CONFIG would hold."""
-    g = office.gateway
+def known(workers: list[Worker]) -> dict[str, Any]:
+    """The workers of a file, as discovery would list them."""
     rows = [
         {
             "instanceId": w.id,
@@ -111,8 +110,14 @@
             "weight": 1.0,
             "startedAtMs": 0,
         }
-        for w in office.worker
+        for w in workers
     ]
+    return {"generation": 0, "reset": True, "instances": rows}
+
+
+def configuration(office: Office) -> dict[str, Any]:
+    """What GW_CONFIG would hold."""
+    g = office.gateway
     told = settings(
         office.product,
         office.plan,
@@ -135,6 +140,6 @@
             "memory_mb": office.limits.memory_mb,
             "sockets": office.limits.sockets,
         },
-        "known": {"generation": 0, "reset": True, "instances": rows},
+        "known": known(office.worker),
         "settings": told,
     }
