--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -191,7 +191,7 @@
         if error is None:
             logger.info("{}discovery heard", self.desk.said)
         else:
-            logger.warning("{}discovery lost: {}; {}", self.desk.said, error or type(error).__name__,
+            logger.warning("{}discovery lost: {}; {}", self.desk.said, str(error) or type(error).__name__,
                            "the last list stands" if self.spoke.is_set() else "nobody is let in yet")
 
 
