Hosting: a tenant's key is made in one place; its workers are counted in one pass

Looked at and left: the start of a process in test_roster and test_gate (two lines of set-up that read better in place), the same-shaped loops of judge.py and test_bounds.py (other rules, other plays).

--- a/drumgw/host/hosting.py
+++ b/drumgw/host/hosting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -27,7 +28,7 @@
 
     def __init__(self, tenant: Tenant, station: Station) -> None:
         self.name, self.serial, self.spec, self.station = tenant.name, tenant.serial, tenant.spec, station
-        self.key = f"{tenant.name}#{tenant.serial}"  # of its shares
+        self.key = tenant.key
         self.ids: set[str] = set()  # of open txns; emptied by their ends
         self.open = self.taken = self.turned_away = 0
         self.ready = False
@@ -104,14 +105,13 @@
         elif change.what == "removed":
             self.remove(tenant)
         elif tenant.state == DRAINING:
-            self.await_empty(f"{tenant.name}#{tenant.serial}", tenant.serial)
+            self.await_empty(tenant.key, tenant.serial)
         else:
-            self.drains.pop(f"{tenant.name}#{tenant.serial}", None)
+            self.drains.pop(tenant.key, None)
 
     def seat(self, tenant: Tenant) -> None:
-        key = f"{tenant.name}#{tenant.serial}"
-        self.shares.put(key, tenant.spec["weight"])
-        self.weights[key] = tenant.spec["weight"]
+        self.shares.put(tenant.key, tenant.spec["weight"])
+        self.weights[tenant.key] = tenant.spec["weight"]
         seat = self.seats[tenant.name] = Seat(tenant, self.station(tenant))
         self.spawn(self.begin(seat))
 
@@ -120,8 +120,7 @@
             spec = Spec.model_validate(tenant.spec)
         except ValidationError as bad:  # from a state file of other days
             raise BadCharter(f"tenant {tenant.name}: {bad.errors()[0]['msg']}") from bad
-        key = f"{tenant.name}#{tenant.serial}"
-        lines = self.shares.holds_most(key) if key in self.shares.parts else self.most
+        lines = self.shares.holds_most(tenant.key)
         return Station(tenant_charter(self.house, tenant.name, tenant.serial, spec, lines), self.pulse)
 
     async def begin(self, seat: Seat) -> None:
@@ -232,12 +231,7 @@
             "taken": seat.taken,
             "turned_away": seat.turned_away,
             "share": {"own": part.own, "most": self.shares.holds_most(seat.key), "refused": part.refused},
-            "workers": {
-                str(row.entry.health.value): sum(
-                    r.entry.health is row.entry.health for r in station.roster.muster.rows.values()
-                )
-                for row in station.roster.muster.rows.values()
-            },
+            "workers": Counter(row.entry.health.value for row in station.roster.muster.rows.values()),
             "lines": len(station.workers.lines.wires),
             "discovery_heard": station.roster.heard,
         }
--- a/drumgw/host/registry.py
+++ b/drumgw/host/registry.py
@@ -37,6 +37,11 @@
         self.name, self.serial, self.version, self.state, self.spec = name, serial, version, state, spec
         self.operation: str | None = None  # that waits for its txns
 
+    @property
+    def key(self) -> str:
+        """Of what it holds: a name made anew is another tenant."""
+        return f"{self.name}#{self.serial}"
+
     def told(self) -> Obj:
         return {
             "name": self.name,
