Headers pass to workers as they came: a keyed request keeps its Idempotency-Key

At fault: door.KEPT, a list of four headers that pass; the key of a keyed class was not among them, so no worker could know a repeat. Change: all headers pass but those that concern one connection (RFC 9110, 7.6.1) and Request-Timeout, which each attempt says anew. So Content-Encoding passes too, with the packed body that always did. The test fails with the old list.

--- a/drumgw/gate/door.py
+++ b/drumgw/gate/door.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from math import isfinite
 
@@ -35,15 +35,24 @@
     txn: int = 0
 
 
-KEPT = ("Host", "Request-Id", "Content-Type", "Client-Retry")
+# What concerns this connection only (RFC 9110, 7.6.1), and what each attempt says anew
+OWN = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
+                 b"te", b"trailer", b"transfer-encoding", b"upgrade", b"expect", b"content-length",
+                 b"request-timeout"))
 
 
-def write_head(method: str, target: str, headers: Mapping[str, str], body: bytes) -> bytes:
-    """The target and what is kept of the headers, as the bytes that came."""
-    lines = [f"{method} {target} HTTP/1.1", *(f"{k}: {v}" for k in KEPT if (v := headers.get(k)) is not None)]
+def write_head(method: str, target: str, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
+    """The target and the headers as the bytes that came. Guards keyed requests: without the client's
+    Idempotency-Key a worker can't tell its repeats, and any other header may mean as much to it."""
+    lines = [f"{method} {target} HTTP/1.1".encode("utf-8", "surrogateescape")]
+    own, said = OWN, list(headers)
+    for name, value in said:
+        if name.lower() == b"connection":
+            own |= {word.strip().lower() for word in value.split(b",")}
+    lines += [b"%b: %b" % (name, value) for name, value in said if name.lower() not in own]
     if body or method == "POST":
-        lines.append(f"Content-Length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n").encode("utf-8", "surrogateescape")
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n"
 
 
 def read_asked(names: Names, terms: Terms, method: str, target: str, headers: Mapping[str, str]) -> Txn:
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -246,7 +246,7 @@
         if (name := headers["Request-Id"]) in ids:
             raise Unfit(409, "a txn of this id is open")    # it would spoil that one
         client.move(Stage.OPEN)
-        passage = Passage(write_head(request.method, target, headers, body), body, asked)
+        passage = Passage(write_head(request.method, target, request._message.raw_headers, body), body, asked)
         ids.add(name)
         try:
             reply = await desk.take(passage)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -139,6 +139,20 @@
         self.assertIn(b"\r\nRequest-Id: 9b1f\r\n", head)
         self.assertRegex(head, rb"\r\nRequest-Timeout: [1-9]\d{1,2}m\r\n")
 
+    async def test_headers_pass_but_those_of_the_connection(self) -> None:
+        """Guards keyed requests of another customer: their key was dropped, so no repeat was known."""
+        worker = await self.stand_in(http(b"ok"))
+        await self.begin(worker.address)
+        status, _, _ = await self.ask(
+            POSTED, "POST", b"{}", Idempotency_Key="868894f6", Content_Encoding="x", traceparent="00-1",
+            Connection="keep-alive, X-Mine", X_Mine="1", TE="trailers", Keep_Alive="9", Expect="later")
+        head, _ = worker.came[0]
+        names = [line.split(b":")[0].decode() for line in head.split(b"\r\n")[1:-2]]
+        self.assertEqual((status, names), (200, [
+            "Host", "Request-Id", "Plan", "Quota-Info", "Idempotency-Key", "Content-Encoding", "traceparent",
+            "Content-Length", "Request-Timeout"]))
+        self.assertIn(b"\r\nIdempotency-Key: 868894f6\r\n", head)
+
     async def test_one_connection_carries_one_request_after_another(self) -> None:
         worker = await self.stand_in(http(b"ok"))
         await self.begin(worker.address)
