Repeats heed their window at the last byte; what never left is told as never run

Gatekeeper.again compared now with the window when a repeat was decided; the attempt might then wait for its connection for the whole connect time. Submit now says write_by_ms, the window's end; Lines.ask heeds it after connect, and while a part of the request is still in the gateway (a worker that reads slowly). 2. finish took every decline of a keyed request known to all workers for harmless; after the window, or where the client is told to come back after it, it is not. It is voided then. 3. Trip.close looked at the write buffer of a transport that was gone by then, so a reset under the first half, or bytes that the system refused, counted as a whole request that may have run: once-only ones were failed. The transport now tells by its flow control (limit 0) whether a part is still here. 4. An answer without a length was ended by any close without an error, also our own (a tenant's station that shuts, the pool): now by its peer's end alone.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -454,7 +454,7 @@
         h.tried.append(w)
         late = min(self.products[h.product].sla_ms, SILENT * self.high[h.product] * w.slow / self.warmth(w))
         w.out[h.txn], self.busy[w.wid] = (self.now, self.now + late, h.product), w
-        self.acts.append(api.Submit(h.txn, w.wid, h.expiry))
+        self.acts.append(api.Submit(h.txn, w.wid, h.expiry, self.known_until(h)))
         return None
 
     def on_answer(self, e: api.Answer) -> None:
@@ -478,16 +478,23 @@
         """Sends again what may run again, within the budget; what never ran is always free to go."""
         p = self.products[h.product]
         spent = self.resends < 1 and (h.ran is not None or self.late > LATE_MOST)
-        forgotten = p.repeat is Repeat.REFERENCED and self.now >= h.ran_at + p.remember_ms
-        if spent or h.ran is not None and (p.repeat is Repeat.ONCE or forgotten):
+        if spent or h.ran is not None and p.repeat is Repeat.ONCE or self.now >= self.known_until(h):
             return "no worker"
         return self.submit(h)
 
+    def known_until(self, h: Held) -> float:
+        """Guards referenced txns: a repeat whose last byte comes after the workers forgot the first has a
+        second effect, however early it was decided."""
+        p = self.products[h.product]
+        bound = h.ran is not None and p.repeat is Repeat.REFERENCED
+        return h.ran_at + p.remember_ms if bound else NEVER
+
     def finish(self, h: Held) -> None:
         """The final answer, at once: declined where trying again is known to be harmless, else voided."""
         p = self.products[h.product]
-        harmless = p.repeat is Repeat.INQUIRY or p.repeat is Repeat.REFERENCED and p.group is Group.ALL
         wait = min(self.longest_wait, (h.wait or REST_MS) * self.chance.uniform(1.0, 1.2))
+        known = p.group is Group.ALL and self.now + wait < self.known_until(h)    # as it comes again
+        harmless = p.repeat is Repeat.INQUIRY or p.repeat is Repeat.REFERENCED and known
         self.acts.append(api.Decline(h.txn, wait) if harmless or h.ran is None else api.Void(h.txn))
         self.forget(h)
 
--- a/drumgw/gate/core.py
+++ b/drumgw/gate/core.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import inf
 from typing import Any, NamedTuple, Protocol
 
 from drumgw import interface as api
@@ -22,6 +23,7 @@
     submission: int
     worker: int
     stop_at_ms: float
+    write_by_ms: float = inf
 
 
 class Stop(NamedTuple):
@@ -194,11 +196,11 @@
             return
         n, stop_at = h.tries, min(a.stop_at_ms or h.expiry, h.expiry)
         h.tries += 1
-        if n >= self.most or stop_at <= now or h.out and not self.copies:
+        if n >= self.most or min(stop_at, a.write_by_ms) <= now or h.out and not self.copies:
             self.events.append(api.Answer(a.txn, n, a.worker, End.NOT_SENT, 0.0, False, 0.0, {}))
             return
         h.out[n] = a.worker, now - self.stood
-        self.effects.append(Send(a.txn, n, a.worker, stop_at))
+        self.effects.append(Send(a.txn, n, a.worker, stop_at, a.write_by_ms))
         if stop_at < h.expiry:
             self.effects.append(Alarm(stop_at, a.txn, n))
 
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -12,6 +12,7 @@
 import select
 from collections.abc import Callable
 from functools import partial
+from math import inf
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -34,6 +35,10 @@
     """What came is no answer, or none that was asked for: the connection can't be used any more."""
 
 
+class TooLate(aiohttp.ClientError):
+    """The request's last byte would leave after the moment that was told: it was not sent whole."""
+
+
 class Wire(ResponseHandler):
     """A connection and the answers owed on it, in their order. It ends with the first that is not."""
 
@@ -47,12 +52,15 @@
         self.heard: Callable[[Answer], None] | None = None  # set by who uses it; so is lost
         self.lost: Callable[[BaseException], None] | None = None
         self.timer: Timer | None = None
+        self.ended = False      # the peer itself ended its sending
         self.heads = HttpResponseParser(self, loop, lines.most_body, response_with_body=False,
                                         auto_decompress=False)
         self.poll = select.poll()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        # So writing_paused says exactly whether a part is still here; it stays so if that never leaves
+        transport.set_write_buffer_limits(0)    # type: ignore[attr-defined]
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self.lines.wires.add(self)
 
@@ -180,9 +188,15 @@
         if lost is not None:
             lost(error)
 
+    def eof_received(self) -> None:
+        self.ended = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Guards txns against half an answer without a length: only its peer's own end is its end, no reset
+        and no close of ours."""
         self.lines.wires.discard(self)
-        if exc is None and self.message is not None and self.length is None and self.chunks is None:
+        if self.ended and self.message is not None and self.length is None and self.chunks is None and not exc:
             body, self.got = self.got, b""
             self.done(body)
         super().connection_lost(exc)
@@ -192,22 +206,29 @@
 class Trip:
     """An exchange under way. It can be given up at any time; its connection is then closed at once."""
 
-    __slots__ = ("connection", "written")
+    __slots__ = ("connection", "written", "write_by", "timer")
 
-    def __init__(self) -> None:
+    def __init__(self, write_by: float = inf) -> None:
         self.connection: aiohttp.connector.Connection | None = None
-        self.written = False        # whole, as far as we know: from then on it may have run
+        self.written = False        # handed over whole: from then on it may have run
+        self.write_by = write_by    # its last byte leaves by then, or never
+        self.timer: Timer | None = None
 
     def close(self) -> None:
+        self.disarm()
         connection, self.connection = self.connection, None
         if connection is None:
             return
         transport = connection.transport
         if transport is not None:
-            self.written = self.written and not transport.get_write_buffer_size()
             transport.abort()
         connection.close()
 
+    def disarm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
 
 class Lines:
     """The connections to one kind of peer: so many at most, none kept idle for longer than told."""
@@ -254,16 +275,26 @@
         if trip.connection is None:     # given up just now, and cancelled
             raise asyncio.CancelledError
         answer: asyncio.Future[Answer] = self.loop.create_future()
-        wire.heard, wire.lost = partial(settle, answer), partial(fail, answer)
         try:
+            if wire.transport is None or wire.transport.is_closing():   # what is written on it would vanish
+                raise aiohttp.ServerDisconnectedError
+            if self.pulse.now() >= trip.write_by:
+                raise TooLate
+            wire.heard, wire.lost = partial(settle, answer), partial(fail, answer)
             wire.ask(request)
+            if wire.transport is None or wire.transport.is_closing():   # the system did not take it
+                raise aiohttp.ServerDisconnectedError
             trip.written = True
+            if trip.write_by < inf and wire.writing_paused:
+                trip.timer = self.pulse.at(trip.write_by, partial(self.too_late, wire))
             found = await answer
         except BaseException:
             wire.heard = wire.lost = None
+            trip.written = trip.written and not wire.writing_paused
             trip.close()
             raise
         wire.heard = wire.lost = None
+        trip.disarm()
         connection, trip.connection = trip.connection, None
         if connection is not None:
             connection.release()
@@ -272,6 +303,11 @@
                 kept.rotate(1)      # the last used is used next: the longer one lies, the likelier it is dead
         return found
 
+    def too_late(self, wire: Wire) -> None:
+        """Guards the window of a repeat: its worker reads slowly, and a part of it is still here."""
+        if wire.writing_paused:
+            wire.spoil(TooLate())
+
     async def close(self) -> None:
         await self.connector.close()
 
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -11,7 +11,7 @@
 from drumgw.gate.core import Send, Stop
 from drumgw.gate.desk import Desk
 from drumgw.gate.door import Passage, read_number
-from drumgw.gate.line import BROKEN, Lines, Trip
+from drumgw.gate.line import BROKEN, Lines, TooLate, Trip
 from drumgw.interface import End
 from drumgw.terms import LOADS
 
@@ -90,7 +90,7 @@
         if worker is None or not worker.open or len(self.where) >= self.most:
             self.tell(order.txn, order.submission, Outcome(End.NOT_SENT))
             return
-        trip = Trip()
+        trip = Trip(order.write_by_ms)
         worker.mailbox[key] = self.loop.create_task(self.run(order, passage, worker, trip)), trip
         self.where[key] = worker
 
@@ -121,6 +121,7 @@
         except BROKEN as error:     # before its last byte was written it cannot have run
             self.desk.pulse.now()
             ours = isinstance(error, TimeoutError) and stood < self.desk.pulse.stood_ms
+            ours = ours or isinstance(error, TooLate)
             return Outcome(End.BROKEN if trip.written else End.NOT_SENT if ours else End.UNREACHED)
         except Exception as error:
             self.desk.complain(error, "a worker's line")
--- a/drumgw/interface.py
+++ b/drumgw/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 
 
@@ -184,6 +185,7 @@
     txn: int
     worker: int
     stop_at_ms: float
+    write_by_ms: float = inf    # its last byte leaves by then, or never
 
 
 class Decline(NamedTuple):
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,281 @@
+"""What if a request, an answer or a signal comes between two lines? Each crossing is forced: the peers are
+scripted byte by byte on real sockets, and whoever has to wait is held until told. docs/crossings.md lists them.
+"""
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import unittest
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+import uvloop
+
+from drumgw.gate.gateway import Gateway
+from tests.stage import StandIn, http
+from tests.test_gate import POSTED, GateCase, request, settings
+from tests.test_drill import PRODUCT
+
+KEYED = "/k?account=00000000b4d65521"
+LARGE = b"x" * 60000
+ONE_ATTEMPT = {**settings()["ceilings"], "maxAttempts": 1}
+BOUND_S = 20    # only so that what is broken fails and does not hang
+RESET = struct.pack("ii", 1, 0)     # close() then resets
+
+
+class Line:
+    """One end of a connection, moved by the test alone."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.setblocking(False)
+
+    async def read(self, mark: bytes) -> bytes:
+        """Until the mark has come; what else came with it is returned too."""
+        came = b""
+        async with asyncio.timeout(BOUND_S):
+            while mark not in came:
+                data = await asyncio.get_running_loop().sock_recv(self.sock, 65536)
+                if not data:
+                    raise EOFError(came)
+                came += data
+        return came
+
+    async def rest(self) -> bytes:
+        """All that still comes until the other side ends or resets."""
+        came = b""
+        try:
+            async with asyncio.timeout(BOUND_S):
+                while data := await asyncio.get_running_loop().sock_recv(self.sock, 65536):
+                    came += data
+        except ConnectionError:
+            came += b"(reset)"
+        return came
+
+    def write(self, data: bytes) -> None:
+        """At once: it lies in the other side's system before the gateway's loop has another turn."""
+        self.sock.setblocking(True)
+        self.sock.sendall(data)
+        self.sock.setblocking(False)
+
+    def close(self, reset: bool = False) -> None:
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.sock.close()
+
+
+class Peer:
+    """A worker, counter or agent that accepts, reads and writes only when its test does."""
+
+    def __init__(self, room: int = 0) -> None:
+        self.sock, self.lines = socket.socket(), list[Line]()
+        if room:    # of what is sent to it the system keeps so little
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(64)
+        self.sock.setblocking(False)
+        self.address = "{}:{}".format(*self.sock.getsockname())
+
+    async def accept(self) -> Line:
+        async with asyncio.timeout(BOUND_S):
+            self.lines.append(Line((await asyncio.get_running_loop().sock_accept(self.sock))[0]))
+        return self.lines[-1]
+
+    def close(self) -> None:
+        for line in self.lines:
+            line.sock.close()
+        self.sock.close()
+
+
+async def until(true: Callable[[], Any]) -> None:
+    async with asyncio.timeout(BOUND_S):
+        while not true():
+            await asyncio.sleep(0.001)
+
+
+class CrossingCase(GateCase):
+    """On uvloop, as the gateway runs in service."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        asyncio.set_event_loop_policy(None)
+
+    def peer(self, room: int = 0) -> Peer:
+        peer = Peer(room)
+        self.addCleanup(peer.close)
+        return peer
+
+    def client(self) -> Line:
+        line = Line(socket.create_connection(self.place))
+        self.addCleanup(line.sock.close)
+        return line
+
+    async def begin_keyed(self, *addresses: str, window_ms: float = 150.0, group: str = "all", **more: Any
+                          ) -> Gateway:
+        keyed = {**PRODUCT, "name": "k", "idempotency": "by_key", "keyTtlMs": window_ms, "group": group,
+                 "deadlineMs": 60000.0, "onTimeMs": 50000.0}
+        return await self.begin(*addresses, settings=settings(
+            classes=[*settings()["classes"], keyed], balancers=1, **more))
+
+    @contextmanager
+    def held(self, when: Callable[[Any], bool]) -> Iterator[asyncio.Event]:
+        """Holds connections to workers that come up, where told, until the event is set."""
+        connector, go = self.gateway.workers.lines.connector, asyncio.Event()
+        connect = connector.connect
+
+        async def up(card: Any, *rest: Any) -> Any:
+            connection = await connect(card, *rest)
+            if when(card):
+                await go.wait()
+            return connection
+        with mock.patch.object(connector, "connect", up):
+            yield go
+
+    @contextmanager
+    def narrow(self) -> Iterator[None]:
+        """Of what is sent to workers our system keeps little, so a large request stays in the gateway."""
+        connector = self.gateway.workers.lines.connector
+        connect = connector.connect
+
+        async def up(*args: Any) -> Any:
+            connection = await connect(*args)
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return connection
+        with mock.patch.object(connector, "connect", up):
+            yield
+
+    def past(self, window_ms: float) -> Callable[[], bool]:
+        end = self.gateway.pulse.now() + window_ms
+        return lambda: self.gateway.pulse.now() > end
+
+
+class Window(CrossingCase):
+    """A repeat of a keyed request: its last byte leaves within the window of the first, or never."""
+
+    async def failing_first(self, other: str, **more: Any) -> StandIn:
+        """A worker that fails what it gets; the other gets the repeat, whoever is asked first."""
+        bad = await self.stand_in(http(status=500))
+        await self.begin_keyed(bad.address, other, **more)
+        number = next(n for n, w in self.gateway.workers.actors.items() if w.place[0] == bad.address)
+        keeper = self.gateway.desk.core.keeper
+        keeper.around.sort(key=lambda w: w.wid != number)   # type: ignore[attr-defined]
+        pick = keeper.pick      # type: ignore[attr-defined]
+
+        def first(h: Any) -> Any:
+            return pick(h) if h.tried else keeper.workers[number]   # type: ignore[attr-defined]
+        patch = mock.patch.object(keeper, "pick", first)
+        patch.start()
+        self.addCleanup(patch.stop)
+        return bad
+
+    async def test_a_connection_that_comes_up_after_the_window_carries_no_repeat(self) -> None:
+        other = await self.stand_in(http(b"ok"))
+        bad = await self.failing_first(other.address)
+        with self.held(lambda card: str(card.url.port) in other.address) as go:
+            asked = asyncio.create_task(self.ask(KEYED, "POST", b"{}"))
+            await until(lambda: other.lines)
+            await until(self.past(150.0))
+            go.set()
+            status, _, _ = await asked
+        self.assertEqual((status, len(bad.came), other.came), (500, 1, []))
+
+    async def test_within_the_window_it_carries_it(self) -> None:
+        """The other side of the same: a late connection alone stops nothing."""
+        other = await self.stand_in(http(b"ok"))
+        bad = await self.failing_first(other.address, window_ms=60000.0)
+        with self.held(lambda card: str(card.url.port) in other.address) as go:
+            asked = asyncio.create_task(self.ask(KEYED, "POST", b"{}"))
+            await until(lambda: other.lines)
+            go.set()
+            self.assertEqual((await asked)[:2], (200, b"ok"))
+        self.assertEqual((len(bad.came), len(other.came)), (1, 1))
+
+    async def test_a_worker_that_reads_slowly_gets_no_last_byte_after_the_window(self) -> None:
+        peer = self.peer(room=4096)
+        await self.failing_first(peer.address)
+        with self.narrow():
+            asked = asyncio.create_task(self.ask(KEYED, "POST", LARGE))
+            line = await peer.accept()
+            status, _, _ = await asked
+        self.assertEqual(status, 500)
+        self.assertLess((await line.rest()).count(b"x"), len(LARGE))
+
+    async def test_it_is_declined_only_where_coming_again_is_within_the_window(self) -> None:
+        """A decline says that coming again is harmless: to workers that have forgotten the first it is not."""
+        for window_ms, status in ((60000.0, 503), (300.0, 500)):
+            bad = await self.stand_in(http(status=500))
+            await self.begin_keyed(bad.address, window_ms=window_ms)
+            self.assertEqual((await self.ask(KEYED, "POST", b"{}"))[0], status)
+            await self.end()
+
+
+class Halves(CrossingCase):
+    """How much of a request has left decides whether it may have run."""
+
+    async def test_a_reset_under_the_first_half_says_that_it_never_ran(self) -> None:
+        """Guards once-only requests, which may go to another worker then; they were failed."""
+        peer = self.peer(room=4096)
+        await self.begin(peer.address, settings=settings(ceilings=ONE_ATTEMPT))
+        with self.narrow():
+            asked = asyncio.create_task(self.ask(POSTED, "POST", LARGE))
+            line = await peer.accept()
+            await until(lambda: any(wire.transport is not None and wire.transport.get_write_buffer_size()
+                                    for wire in self.gateway.workers.lines.wires))
+            line.close(reset=True)
+            status, _, _ = await asked
+        self.assertEqual(status, 503)     # harmless to repeat, as it never ran
+
+    async def test_a_reset_behind_the_last_byte_says_that_it_may_have_run(self) -> None:
+        peer = self.peer()
+        await self.begin(peer.address)
+        asked = asyncio.create_task(self.ask(POSTED, "POST", b"{}"))
+        line = await peer.accept()
+        await line.read(b"{}")
+        line.close(reset=True)
+        self.assertEqual((await asked)[0], 500)
+
+    async def test_a_connection_that_resets_before_the_first_byte(self) -> None:
+        """The system refuses the bytes: nothing has left, so a once-only request is not failed."""
+        peer = self.peer()
+        await self.begin(peer.address, settings=settings(ceilings=ONE_ATTEMPT))
+        lines: list[Line] = []
+
+        def reset() -> None:
+            lines.pop().close(reset=True)
+        with self.held(lambda card: True) as go:
+            asked = asyncio.create_task(self.ask(POSTED, "POST", b"{}"))
+            lines.append(await peer.accept())
+            with mock.patch.object(self.gateway.workers.lines, "before", reset):
+                go.set()
+                self.assertEqual((await asked)[0], 503)
+
+    async def test_an_answer_without_a_length_ends_by_its_peer_alone(self) -> None:
+        """Half of it and a reset, a stall, or a close of ours is no answer; the peer's own end is one."""
+        half = b"HTTP/1.1 200 OK\r\n\r\nhalf of it"
+        for how, status in (("end", 200), ("reset", 500), ("stall", 500), ("ours", 500)):
+            peer = self.peer()
+            await self.begin(peer.address)
+            asked = asyncio.create_task(self.ask(POSTED, "POST", b"{}"))
+            line = await peer.accept()
+            await line.read(b"{}")
+            line.write(half)
+            if how == "ours":
+                await until(lambda: any(wire.message for wire in self.gateway.workers.lines.wires))
+                for wire in list(self.gateway.workers.lines.wires):
+                    wire.close()
+            elif how != "stall":
+                line.close(reset=how == "reset")
+            self.assertEqual((await asked)[0], status, how)
+            await self.end()
+
+
+if __name__ == "__main__":
+    unittest.main()
