Discovery's pace follows the settings' grace: an outage of any length is over in time

Cause, from reading and forced in a test: the watch let the agent wait 1,000 ms and was doubled 150 ms after that; an agent that went silent and came back within that time, without an answer to the call that was out, was not heard for up to 1,150 ms, beside a grace of 250. And 150 ms came from no setting. Change: a pace of a quarter of the grace and the protocol's 50 ms, 150 ms at most. A watch waits one pace; the next call begins two paces after the last word at the latest, then one after each. A slow agent is still waited for (2 s on the watch's own call). "discovery lost" is a line after a second of silence, as before. Cost: 7 to 13 calls a second in place of one; empty ones send no list line, which is what is priced.

--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -13,6 +13,7 @@
 COUNTER_LINES = 32      # what the counter holds of one gatekeeper (the protocol's figure)
 MOST_BODY = 64 * 1024   # the protocol's figure; a head is held to a quarter of it
 MOST_HEAD = MOST_BODY // 4
+DRAIN_MS = 250.0        # taken for the grace of a drain where the settings name none
 CLIENT_MS = 2000.0      # a connection with no request open may be closed after this (the protocol's figure)
 
 
@@ -35,6 +36,7 @@
     lines: int              # and to workers
     idle_ms: float          # a connection to a worker is kept this long at most
     connect_ms: float
+    grace_ms: float = DRAIN_MS      # from the moment that a drain counts as told to the last send
     prefix: str = ""        # of the names of its counts, where several share a counter
     said: str = ""          # before its lines in the log, where several write one
 
@@ -95,4 +97,5 @@
         counter=counter, seed=int(str(told["seed"]), 16), known=known, terms=terms, names=names,
         clients=free - lines, asking=min(free - lines, sockets // 3) * 3 // 4, lines=lines,
         idle_ms=float(allowed.get("connIdleMs") or 0) / 2,      # never near the worker's own limit
-        connect_ms=float(allowed.get("connectTimeoutMs") or 1000.0))
+        connect_ms=float(allowed.get("connectTimeoutMs") or 1000.0),
+        grace_ms=float((settings["contract"] or {}).get("stopSendingWithinMs") or DRAIN_MS))
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -14,8 +14,10 @@
 from drumgw.gate.workers import Workers
 from drumgw.interface import Health
 
-WATCH_MS, SILENT_MS = 1000.0, 1000.0    # guards drains: a watch that got lost says nothing till both are over
-SCOUT_MS, SCOUT_WAIT_MS = 150.0, 50.0   # guards drains as a silent agent comes back: within the grace
+GRACE_PART, PACE_MOST_MS = 0.25, 150.0  # a pace is this part of a drain's grace; the most, as lists also help service
+SLOW_MS = 2000.0    # an agent that is merely slow is waited for as long; the protocol's figure for a wait that is over
+LOST_MS = 1000.0    # of silence, then it is a line in the log
+SLACK_MS = 50.0     # by which each limit grows on sockets (the protocol's figure)
 AGAIN_MS = 50.0     # between two calls of a watch; under the protocol's gap of 200 ms
 LOOK_MS = 50.0      # nothing is sent on a word of the agent's that has lain unread for longer
 LINES, IDLE_MS, CONNECT_MS = 2, 5000.0, 1000.0      # a watch and a scout
@@ -35,6 +37,9 @@
         self.calls: set[asyncio.Task[None]] = set()     # those out; emptied as they end
         self.tasks: list[asyncio.Task[None]] = []       # the watch and its scout
         self.round = 0          # a call that began before the last word, or a move, tells nothing any more
+        # Guards drains as a silent agent comes back, which may answer no call that was out: whatever the length
+        # of an outage, the next call begins two paces after the last word, or one after the last call
+        self.pace_ms = min(PACE_MOST_MS, GRACE_PART * (charter.grace_ms + SLACK_MS))
         self.heard, self.unread, self.behind = True, 0, False   # modes that the log told
         self.spoke = asyncio.Event()
         self.heard_at = self.looked_at = self.scout_at = self.pulse.now()
@@ -44,7 +49,7 @@
         """The watch goes on there at once: the old address may keep its calls for as long as it likes."""
         self.address = "{}:{}".format(*address)
         self.card = self.lines.card(self.address)
-        self.scout_at = self.pulse.now() + SCOUT_MS
+        self.scout_at = self.pulse.now() + self.pace_ms
         self.drop_calls(None)
 
     def drop_calls(self, answered: asyncio.Task[None] | None) -> None:
@@ -56,7 +61,7 @@
 
     async def begin(self) -> None:
         """Until the agent has spoken, or has been silent for so long that the known list stands in."""
-        self.heard_at, self.scout_at = self.pulse.now(), self.pulse.now() + SCOUT_MS
+        self.heard_at, self.scout_at = self.pulse.now(), self.pulse.now() + self.pace_ms
         self.tasks = [asyncio.create_task(self.watch()), asyncio.create_task(self.scout())]
         try:
             async with asyncio.timeout(SILENT_START_MS / 1000):
@@ -76,7 +81,7 @@
     async def watch(self) -> None:
         """Each next call at once after an answer, but not faster than the drains want it."""
         while True:
-            await self.call(WATCH_MS, WATCH_MS + SILENT_MS, AGAIN_MS)
+            await self.call(self.pace_ms, SLOW_MS, min(AGAIN_MS, self.pace_ms))
 
     async def scout(self) -> None:
         """While the agent is silent: a call that is out as it comes back may hear nothing, a new one does."""
@@ -84,7 +89,7 @@
             if (wait := self.scout_at - self.pulse.now()) > 0:
                 await asyncio.sleep(wait / 1000)
             else:
-                await self.call(SCOUT_WAIT_MS, SCOUT_MS, SCOUT_MS)
+                await self.call(self.pace_ms / 2, self.pace_ms, self.pace_ms)
 
     async def call(self, wait_ms: float, patience_ms: float, least_ms: float) -> None:
         """One call that the agent may let wait; given up when another one is answered or discovery moves."""
@@ -148,7 +153,7 @@
         except Exception as error:      # no list that can be read: the last one stands
             fail(over, error)
             return
-        silent_ms, self.heard_at, self.scout_at = now - self.heard_at, now, now + WATCH_MS + SCOUT_MS
+        silent_ms, self.heard_at, self.scout_at = now - self.heard_at, now, now + 2 * self.pace_ms
         self.drop_calls(call)
         self.act(change, f"list {self.muster.newest}, asked {now - asked_at:.0f} ms ago, "
                          f"nothing heard for {silent_ms:.0f} ms before")
@@ -185,7 +190,8 @@
 
     def hear(self, error: BaseException | None) -> None:
         """A line for each change of mode; a silent watch that ends in time is no loss."""
-        if self.heard is (error is None):
+        quiet = isinstance(error, TimeoutError) and self.pulse.now() - self.heard_at < LOST_MS
+        if self.heard is (error is None) or quiet:
             return
         self.heard = error is None
         if error is None:
--- a/drumgw/lab/virtual.py
+++ b/drumgw/lab/virtual.py
@@ -16,7 +16,7 @@
 from drumgw.gate.core import Alarm, Core, Effect, Fault, Keeper, Reply, Send, Stop
 from drumgw.gate.gateway import LINGER_MS
 from drumgw.gate.muster import STATES, worker_id
-from drumgw.gate.roster import SCOUT_MS
+from drumgw.gate.roster import PACE_MOST_MS
 from drumgw.interface import End, Health
 from drumgw.lab.clients import TERM_SEEN_MS, Try
 from drumgw.lab.clocks import Handle, VirtualClock
@@ -127,7 +127,7 @@
             return
         registry = self.world.registry
         if registry.lost:
-            self.after(SCOUT_MS, self.hear)
+            self.after(PACE_MOST_MS, self.hear)
             return
         self.look()
         registry.waiting[self.number] = partial(self.when_running, self.hear)
@@ -443,7 +443,7 @@
     def let_in(self, gate: Gate) -> None:
         """Nobody before its agent has spoken."""
         if gate.generation is None and gate.alive:
-            self.clock.at(self.clock.now() + SCOUT_MS, lambda: self.let_in(gate))
+            self.clock.at(self.clock.now() + PACE_MOST_MS, lambda: self.let_in(gate))
         elif gate.alive:
             self.world.clients.front(gate.number, True)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,11 +4,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 import unittest
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 from unittest import mock
 
@@ -16,7 +17,7 @@
 
 from drumgw.gate.gateway import Gateway
 from tests.stage import StandIn, http
-from tests.test_gate import POSTED, GateCase, request, settings
+from tests.test_gate import POSTED, GateCase, charter, instance, request, settings, told
 from tests.test_drill import PRODUCT
 
 KEYED = "/k?account=00000000b4d65521"
@@ -277,5 +278,67 @@
             await self.end()
 
 
+class Outages(CrossingCase):
+    """An agent that comes back may answer no call that was out: whatever the length, it is asked anew in time."""
+
+    async def begin_watching(self, grace_ms: float) -> tuple[Peer, Gateway, list[str]]:
+        agent, self.deaf = self.peer(), False
+        contract = {**settings()["contract"], "stopSendingWithinMs": grace_ms}
+        self.generation, self.lifecycle = 1, "up"
+        rows = [instance("s-0", "127.0.0.1:1")]
+        gateway = Gateway(charter(told(agent.address, rows, settings=settings(contract=contract))))
+        self.gateway, asked = gateway, list[str]()
+
+        async def serve(line: Line) -> None:
+            """The calls that come while it is deaf are never answered; others at once or after their wait."""
+            with suppress(EOFError, ConnectionError, TimeoutError):
+                while True:
+                    target = (await line.read(b"\r\n\r\n")).split()[1].decode()
+                    asked.append(target)
+                    if self.deaf:
+                        continue
+                    if f"since={self.generation}&" in target:
+                        await asyncio.sleep(float(target.partition("timeout_ms=")[2]) / 1000)
+                    if not self.deaf:
+                        row = instance("s-0", "127.0.0.1:1", self.lifecycle)
+                        line.write(http(json.dumps({
+                            "generation": self.generation, "reset": "since=" not in target,
+                            "instances": [row] if f"since={self.generation}&" not in target else []}).encode()))
+
+        async def accept() -> None:
+            while True:
+                self.tasks.append(asyncio.create_task(serve(await agent.accept())))
+        self.tasks = [asyncio.create_task(accept())]
+        self.addCleanup(lambda: [task.cancel() for task in self.tasks])
+        self.place = await gateway.open()
+        self.addAsyncCleanup(self.end)
+        return agent, gateway, asked
+
+    async def test_outages_of_any_length_are_over_within_the_grace(self) -> None:
+        """Guards drains. Between the loss and the return no call is answered, nor any that was out."""
+        _, gateway, asked = await self.begin_watching(grace_ms=1000.0)
+        for outage_ms in (50.0, 150.0, 300.0, 700.0, 1500.0):
+            self.deaf = True
+            await until(self.past(outage_ms))
+            self.lifecycle, self.generation = ("draining", "up")[self.lifecycle == "draining"], self.generation + 1
+            self.deaf, before = False, len(asked)
+            wanted = {"draining": "draining", "up": "ready"}[self.lifecycle]
+            await until(lambda: gateway.roster.muster.rows["s-0"].entry.health.value == wanted)    # noqa: B023
+            self.assertEqual(len(asked) - before, 1, outage_ms)     # the first call after the return
+            self.assertLessEqual(gateway.roster.scout_at - gateway.roster.heard_at, 1000.0 / 2)
+
+    async def test_the_pace_follows_the_grace_of_the_settings(self) -> None:
+        """Two paces from a return to the next call at most, for an outage shorter than one; the rest is ours."""
+        for grace_ms, pace_ms in ((100.0, 37.5), (250.0, 75.0), (2000.0, 150.0)):
+            _, gateway, asked = await self.begin_watching(grace_ms)
+            self.assertEqual(gateway.roster.pace_ms, pace_ms)
+            await until(lambda: len(asked) > 2)     # noqa: B023
+            self.assertIn(f"timeout_ms={pace_ms:.0f}", asked[1])
+            now = gateway.pulse.now()
+            self.assertLessEqual(gateway.roster.scout_at - gateway.roster.heard_at, 2 * pace_ms)
+            self.assertLessEqual(gateway.roster.heard_at, now)
+            await self.end()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -102,7 +102,7 @@
         await self.agent()
         self.now = None
         with mock.patch("drumgw.gate.roster.SILENT_START_MS", 0.0), \
-                mock.patch("drumgw.gate.roster.SCOUT_MS", 1.0), \
+                mock.patch("drumgw.gate.roster.GRACE_PART", 0.003), \
                 mock.patch("drumgw.gate.roster.logger") as log:
             await self.start(known)
             await self.opened()
@@ -134,9 +134,8 @@
     async def test_a_call_that_is_out_as_the_agent_comes_back_may_hear_nothing(self) -> None:
         """Guards the grace: the watch's own patience is far longer here, and it is never answered."""
         await self.agent(instance("s-0", "127.0.0.1:1"))
-        with mock.patch("drumgw.gate.roster.SILENT_MS", 1e9), \
-                mock.patch("drumgw.gate.roster.SCOUT_MS", 1.0), \
-                mock.patch("drumgw.gate.roster.WATCH_MS", 0.0):
+        with mock.patch("drumgw.gate.roster.SLOW_MS", 1e9), \
+                mock.patch("drumgw.gate.roster.GRACE_PART", 0.003):
             await self.start([])
             await self.opened()
             await self.until("since=7&")    # out for good: news do not wake it
