A connection to a worker rests before its next request; signals have a handler to the very end

A connection now rests 10 ms before it is kept; a second answer in that time comes to nobody and ends the connection. The handlers are now plain ones, replaced by "ignore" with no moment between; the loop's own bring the defaults back when it closes.

--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -72,8 +72,8 @@
 async def serve(charter: Charter, again: Callable[[], Charter], early: Sequence[int] = ()) -> None:
     """Guards SIGHUP at both ends: early ones are heeded once it serves, late ones do not end the process."""
     gateway, loop = Gateway(charter), asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, gateway.term.set)
-    loop.add_signal_handler(signal.SIGHUP, partial(gateway.reload, again))
+    heed(loop, signal.SIGTERM, gateway.term.set)
+    heed(loop, signal.SIGHUP, partial(gateway.reload, again))
     opening, term = asyncio.create_task(gateway.open()), asyncio.create_task(gateway.term.wait())
     await asyncio.wait((opening, term), return_when=asyncio.FIRST_COMPLETED)
     if not opening.done():      # told to end while it waited for discovery: nobody was let in
@@ -97,7 +97,13 @@
     deaf()
 
 
+def heed(loop: asyncio.AbstractEventLoop, number: signal.Signals, call: Callable[[], object]) -> None:
+    """Not by the loop's own way, which brings the defaults back at its end: they end the process."""
+    signal.signal(number, lambda *_: loop.call_soon_threadsafe(call) and None)
+    signal.siginterrupt(number, False)
+
+
 def deaf() -> None:
-    """Guards the exit code: the loop's end brings the defaults back, and a signal in that moment would count
-    as a crash. Blocked it waits for ever; there is no moment between two handlers."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGHUP))
+    """From one handler to the next there is no moment with none."""
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -26,6 +26,7 @@
 BROKEN = (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError)
 HEAD = b"HTTP/1."
 NO_BODY = (204, 304)
+REST_MS = 10.0      # what a peer says too much comes some milliseconds late (the fleet's page)
 MOST_CHUNKS = 64    # bodies; above what one read brings, so that aiohttp never pauses a connection
 ONE_READ = 256 * 1024
 Answer = tuple[RawResponseMessage, bytes]
@@ -298,12 +299,20 @@
         trip.disarm()
         connection, trip.connection = trip.connection, None
         if connection is not None:
-            connection.release()
-            kept = self.connector._conns.get(card.connection_key)
-            if kept and kept[-1][0] is wire:
-                kept.rotate(1)      # the last used is used next: the longer one lies, the likelier it is dead
+            if REST_MS and not wire.should_close:
+                self.loop.call_later(REST_MS / 1000.0, self.keep, card, connection, wire)
+            else:
+                self.keep(card, connection, wire)
         return found
 
+    def keep(self, card: aiohttp.ClientRequest, connection: aiohttp.connector.Connection, wire: Wire) -> None:
+        """Not at once: guards the next txn on it, for which a second answer to the last would be taken. Till
+        now it came to nobody, and ended the connection."""
+        connection.release()
+        kept = self.connector._conns.get(card.connection_key)
+        if kept and kept[-1][0] is wire:
+            kept.rotate(1)      # the last used is used next: the longer one lies, the likelier it is dead
+
     def too_late(self, wire: Wire) -> None:
         """Guards the window of a repeat: its worker reads slowly, and a part of it is still here."""
         if wire.writing_paused:
--- a/drumgw/host/service.py
+++ b/drumgw/host/service.py
@@ -11,7 +11,7 @@
 
 from drumgw.gate.charter import RESERVED, BadCharter, address
 from drumgw.gate.clock import Clock, Pulse
-from drumgw.gate.gateway import GARBAGE, LINGER_MS, deaf
+from drumgw.gate.gateway import GARBAGE, LINGER_MS, deaf, heed
 from drumgw.host.access import Access, Token
 from drumgw.host.api import MOST_CALLS, Api
 from drumgw.host.front import Doorway, HostFront
@@ -93,8 +93,8 @@
 
 async def serve(house: House, again: Callable[[], House]) -> None:
     service, loop = Service(house), asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, service.term.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: service.reload(again))
+    heed(loop, signal.SIGTERM, service.term.set)
+    heed(loop, signal.SIGHUP, lambda: service.reload(again))
     try:
         await service.open()
     except BadCharter:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -285,6 +285,35 @@
             await self.end()
 
 
+class SecondAnswers(CrossingCase):
+    async def test_a_second_answer_some_milliseconds_late_is_not_the_next_ones(self) -> None:
+        """Guards the next txn: it came between the look at the kept connection and its own answer, so it was
+        served what no worker made for it."""
+        peer = self.peer()
+        await self.begin(peer.address)
+        first, second = self.client(), self.client()
+        first.write(request())
+        line = await peer.accept()
+        await line.read(b"\r\n\r\n")
+        line.write(http(b"one"))
+        await first.read(b"one")
+        second.write(request(Request_Id="9b20"))    # at once: the first connection rests
+        other = await peer.accept()
+        await other.read(b"Request-Id: 9b20")
+        line.write(http(b"one"))                    # it comes late, and to nobody
+        self.assertEqual(await line.rest(), b"")    # its connection ends
+        other.write(http(b"two"))
+        self.assertIn(b"two", await second.read(b"two"))
+
+    async def test_after_its_rest_a_connection_is_used_again(self) -> None:
+        worker = await self.stand_in(http(b"ok"))
+        await self.begin(worker.address)
+        for n in range(3):
+            self.assertEqual((await self.ask(Request_Id=f"{n}"))[0], 200)
+            await until(lambda: any(self.gateway.workers.lines.connector._conns.values()))
+        self.assertEqual((len(worker.came), len(worker.lines)), (3, 1))
+
+
 class Outages(CrossingCase):
     """An agent that comes back may answer no call that was out: whatever the length, it is asked in time."""
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -168,9 +168,10 @@
         worker = await self.stand_in(lambda head, body: answers.pop(0))
         once = {**settings()["ceilings"], "maxAttempts": 1}
         await self.begin(worker.address, settings=settings(ceilings=once))
-        self.assertEqual((await self.ask())[0], 200)
+        with mock.patch("drumgw.gate.line.REST_MS", 0.0):
+            self.assertEqual((await self.ask())[0], 200)
         self.assertEqual((await self.ask())[0], 503)
-        self.assertEqual(len(worker.came), 2)
+        self.assertEqual((len(worker.came), len(worker.lines)), (2, 1))
 
     async def test_what_never_ran_goes_to_another_worker(self) -> None:
         gone, full = await self.stand_in(None), await self.stand_in(http(status=503, Not_Started="1"))
@@ -228,7 +229,8 @@
                 self.assertEqual((await self.ask())[:2], (200, b"ok"))
                 self.assertEqual((await self.ask())[:2], (200, b"mine"))
         answers += [http(b"ok"), http(b"mine")]
-        self.assertEqual((await self.ask())[:2], (200, b"ok"))
+        with mock.patch("drumgw.gate.line.REST_MS", 0.0):
+            self.assertEqual((await self.ask())[:2], (200, b"ok"))
         worker.lines[-1].write(http(b"late"))       # on a kept connection, and not read yet
         self.assertEqual((await self.ask())[:2], (200, b"mine"))
 
@@ -238,6 +240,9 @@
         answers = [*held, http(b"ok"), http(b"ok")]
         worker = await self.stand_in(lambda head, body: answers.pop(0))
         await self.begin(worker.address)
+        patch = mock.patch("drumgw.gate.line.REST_MS", 0.0)     # how long it rests before is another test's
+        patch.start()
+        self.addCleanup(patch.stop)
         asked = [asyncio.create_task(self.ask(Request_Id=name)) for name in ("1", "2", "3")]
         while len(worker.came) < 3:
             await asyncio.sleep(0.001)
