Edges of settings: no idle time told, a grace of nothing; a late decline says to come back within the window

Found by test_crossings.Edges, sixteen settings at their edges on sockets (no counter, one that nobody reaches, no cancel, one attempt, five and second copies, no zones, foreign ones, short deadlines and windows, none, a lone ceiling or cap, one of 1,024 ...), each judged from outside: 1. Without connIdleMs the gateway ended at its start: aiohttp takes no keep-alive time beside force_close ("ValueError: keepalive_timeout cannot be set if force_close is True", line.Lines). 2. A grace of 0 was taken for none told (250 ms).

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -492,10 +492,11 @@
     def finish(self, h: Held) -> None:
         """The final answer, at once: declined where trying again is known to be harmless, else voided."""
         p = self.products[h.product]
-        wait = min(self.longest_wait, (h.wait or REST_MS) * self.chance.uniform(1.0, 1.2))
-        known = p.group is Group.ALL and self.now + wait < self.known_until(h)    # as it comes again
+        left = self.known_until(h) - self.now       # guards referenced txns: it comes again while it is known
+        wait = min(self.longest_wait, (h.wait or REST_MS) * self.chance.uniform(1.0, 1.2), DOUBT_PART * left)
+        known = p.group is Group.ALL and left > 1
         harmless = p.repeat is Repeat.INQUIRY or p.repeat is Repeat.REFERENCED and known
-        self.acts.append(api.Decline(h.txn, wait) if harmless or h.ran is None else api.Void(h.txn))
+        self.acts.append(api.Decline(h.txn, max(0.0, wait)) if harmless or h.ran is None else api.Void(h.txn))
         self.forget(h)
 
     def forget(self, h: Held) -> None:
--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -90,6 +90,7 @@
     lines = free * 2 // 5   # clients may hold a third of all, and as many again come and say nothing
     if lines < 1:
         raise BadCharter(f"limits.sockets is {sockets}, too few")
+    grace = settings["contract"].get("stopSendingWithinMs")
     known = told.get("known") or {"generation": 0, "reset": True, "instances": []}
     return Charter(
         name=str(env.get("GW_NAME") or told["name"]),
@@ -99,4 +100,4 @@
         clients=free - lines, asking=min(free - lines, sockets // 3) * 3 // 4, lines=lines,
         idle_ms=float(allowed.get("connIdleMs") or 0) / 2,      # never near the worker's own limit
         connect_ms=float(allowed.get("connectTimeoutMs") or 1000.0),
-        grace_ms=float((settings["contract"] or {}).get("stopSendingWithinMs") or DRAIN_MS))
+        grace_ms=DRAIN_MS if grace is None else float(grace))
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from functools import partial
 from math import inf
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -242,8 +243,9 @@
         seconds = connect_ms / 1000.0 if connect_ms else None
         self.loop, self.pulse, self.most, self.packet_ms = pulse.loop, pulse, most, connect_ms
         self.patience = aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
-        self.connector = aiohttp.TCPConnector(
-            limit=most, keepalive_timeout=idle_ms / 1000.0, force_close=not idle_ms, use_dns_cache=False)
+        # Settings that name no idle time: none is known to be safe, so none is kept
+        kept: dict[str, Any] = {"keepalive_timeout": idle_ms / 1000.0} if idle_ms else {"force_close": True}
+        self.connector = aiohttp.TCPConnector(limit=most, use_dns_cache=False, **kept)
         self.connector._factory = partial(Wire, self.loop, self)    # type: ignore[assignment]
         self.wires: set[Wire] = set()   # those open; emptied as they close
 
