--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,9 +5,12 @@
 
 import asyncio
 import json
+import os
 import select
 import socket
 import struct
+import sys
+import tempfile
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
@@ -549,6 +552,55 @@
         self.assertEqual((worker.came, worker.lines), ([], []))
 
 
+class Signals(CrossingCase):
+    async def test_sigterm_during_the_imports_ends_with_0(self) -> None:
+        """Its default ends the process as by a crash; here it comes between the program's own lines."""
+        story = ("import builtins, os, runpy, signal\n"
+                 "real = builtins.__import__\n"
+                 "def called(name, *rest, **more):\n"
+                 "    if name == 'uvloop': os.kill(os.getpid(), signal.SIGTERM)\n"
+                 "    return real(name, *rest, **more)\n"
+                 "builtins.__import__ = called\n"
+                 "runpy.run_module('drumgw', run_name='__main__')")
+        run = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-c", story, stderr=asyncio.subprocess.PIPE)
+        _, said = await run.communicate()
+        self.assertEqual((run.returncode, said), (0, b""))
+
+    async def test_sigterm_twice_beside_a_silent_counter_and_a_request_that_ends_last(self) -> None:
+        """It serves what it has, waits for the counter as long as for a call, and exits with 0."""
+        held: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        worker, counter = await self.stand_in(lambda head, body: held), self.peer()
+        row = instance("s-0", worker.address)
+        listed = http(json.dumps({"generation": 1, "reset": True, "instances": [row]}).encode())
+        discovery = await self.stand_in(lambda head, body: None if b"since=" in head else listed)
+        family = {"counter": True, "countWaitMs": 30.0, "unitsTop": 9}
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(told(discovery.address, [row], counter=counter.address,
+                           settings=settings(familyInfo=family)), file)
+            file.flush()
+            run = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", "drumgw", env={**os.environ, "GW_CONFIG": file.name},
+                stderr=asyncio.subprocess.PIPE)
+            assert run.stderr
+            while b" serves at " not in (said := await run.stderr.readline()):
+                self.assertTrue(said, "it ended early")
+            host, _, port = said.split(b" serves at ")[1].split(b": ")[0].decode().rpartition(":")
+            self.place = host, int(port)
+            line = self.client()
+            line.write(request(Request_Timeout="60000m"))
+            await until(lambda: worker.came)
+            run.terminate()
+            while b"told to end" not in (said := await run.stderr.readline()):
+                self.assertTrue(said, "it ended early")
+            run.terminate()
+            held.set_result(http(b"ok"))
+            self.assertIn(b"Connection: close", await line.read(b"ok"))
+            said = await run.stderr.read()
+            self.assertIn(b"0 left open, invariants broken: none", said)
+            self.assertEqual(await run.wait(), 0)
+
+
 class Edges(CrossingCase):
     """Another customer's settings, each at an edge: it starts, answers each request once, repeats only what
     it may, as often as it may, and holds nothing afterwards."""
