--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -149,8 +149,13 @@
         self.discovery.came_on[-1].write(listed(8, *rows, whole=False))
 
     async def watched(self) -> tuple[StandIn, StandIn, list[Obj]]:
+        """Its one watch stays out, so what is written behind the last call that came is on a live one."""
         one, other, rows = await self.workers()
         await self.agent(*rows)
+        for name in ("PACE_MOST_MS", "GRACE_PART", "SLOW_MS"):
+            patch = mock.patch(f"drumgw.gate.roster.{name}", 1e9)
+            patch.start()
+            self.addCleanup(patch.stop)
         await self.start([])
         await self.opened()
         await self.until("since=7&")
