--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -40,6 +40,8 @@
         # Guards drains as a silent agent comes back, which may answer no call that was out: however long
         # the outage, the next call begins two paces after the last word, or one after the last call
         self.pace_ms = min(PACE_MOST_MS, GRACE_PART * (charter.grace_ms + SLACK_MS))
+        if charter.watch_ms:    # one of many in this process, whose loop has to bear them all
+            self.pace_ms = PACE_MOST_MS
         self.watch_ms = charter.watch_ms or self.pace_ms
         self.heard, self.unread, self.behind = True, 0, False   # modes that the log told
         self.spoke = asyncio.Event()
