A client's close is looked for before each attempt, also where nothing more is read

Seen: a client that sent 1,000 requests and then ended its side had 975 of them sent on to a worker (forced on loopback, twice). aiohttp reads no further while 32 requests of a connection wait, so the end lay unread behind them; only the loss of the connection cancels their handlers. A close that comes while the loop has no turn was found too late in the same way, by first and further attempts alike. Ruled out: requests that wait for the counter or a connection (tests of both passed before). At fault: Workers.carry wrote the first byte without asking; Client.connection_lost was the only word. Change: before each attempt's first byte the client's socket is asked (one poll); one that has closed is ended, its request is left, what it held comes back. Tests: Leavers, two new ones; with drumgw/gate as it was both fail (975 for 1; 1 for 0).

--- a/drumgw/gate/door.py
+++ b/drumgw/gate/door.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from math import isfinite
 
@@ -25,6 +25,10 @@
         self.status = status
 
 
+def still_there() -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class Passage:
     """What goes on to a worker as it came, and what was taken out of it."""
@@ -33,6 +37,7 @@
     body: bytes
     asked: Txn      # its number is given by the core
     txn: int = 0
+    client_left: Callable[[], bool] = still_there   # asked before each attempt's first byte
 
 
 # What concerns this connection only (RFC 9110, 7.6.1), and what each attempt says anew
--- a/drumgw/gate/front.py
+++ b/drumgw/gate/front.py
@@ -145,6 +145,15 @@
     def has_gone(self) -> bool:
         return self.seen(select.POLLRDHUP | select.POLLHUP | select.POLLERR)
 
+    def left(self) -> bool:
+        """Whether its client has closed, as the system knows it. Guards workers against attempts for nobody:
+        the loop may be behind by more than 0.1 s, and while many requests of it wait here (aiohttp then
+        reads no further) it would not find the close at all."""
+        if self.line is not None and not self.line.is_closing() and not self.has_gone():
+            return False
+        self.end()      # its handlers are cancelled in the loop's next turn, paused or not
+        return True
+
     def owes(self) -> bool:
         """A whole request of it was read and has no whole answer yet, or may lie unread."""
         if self.stage is Stage.OPEN or self._messages:
@@ -338,7 +347,8 @@
         if (name := headers["Request-Id"]) in ids:
             raise Unfit(409, "a txn of this id is open")    # it would spoil that one
         client.move(Stage.OPEN)
-        passage = Passage(write_head(request.method, target, request._message.raw_headers, body), body, asked)
+        head = write_head(request.method, target, request._message.raw_headers, body)
+        passage = Passage(head, body, asked, client_left=client.left)
         ids.add(name)
         try:
             reply = await desk.take(passage)
--- a/drumgw/gate/line.py
+++ b/drumgw/gate/line.py
@@ -209,9 +209,10 @@
 class Trip:
     """An exchange under way. It can be given up at any time; its connection is then closed at once."""
 
-    __slots__ = ("connection", "written", "write_by", "timer")
+    __slots__ = ("connection", "written", "write_by", "timer", "before")
 
-    def __init__(self, write_by: float = inf) -> None:
+    def __init__(self, write_by: float = inf, before: Callable[[], None] | None = None) -> None:
+        self.before = before or no_need     # called before its first byte; may give it up
         self.connection: aiohttp.connector.Connection | None = None
         self.written = False        # handed over whole: from then on it may have run
         self.write_by = write_by    # its last byte leaves by then, or never
@@ -276,6 +277,7 @@
         """The whole answer. Where it raises or is cancelled, the connection is closed."""
         trip.connection, wire = await self.connect(card)
         self.before()
+        trip.before()
         if trip.connection is None:     # given up just now, and cancelled
             raise asyncio.CancelledError
         answer: asyncio.Future[Answer] = self.loop.create_future()
--- a/drumgw/gate/workers.py
+++ b/drumgw/gate/workers.py
@@ -3,6 +3,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -88,10 +89,15 @@
         if worker is None or not worker.open or len(self.where) >= self.most:
             self.tell(order.txn, order.submission, Outcome(End.NOT_SENT))
             return
-        trip = Trip(order.write_by_ms)
+        trip = Trip(order.write_by_ms, partial(self.recheck, passage))
         worker.mailbox[key] = self.loop.create_task(self.run(order, passage, worker, trip)), trip
         self.where[key] = worker
 
+    def recheck(self, passage: Passage) -> None:
+        """Guards against an attempt that begins after its client's close, which may lie unread."""
+        if passage.client_left():
+            self.desk.left(passage.txn)
+
     def stop(self, order: Stop) -> None:
         """Closes its connection before anything else of its txn is written."""
         worker = self.where.pop((order.txn, order.submission), None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,7 @@
 
 import uvloop
 
-from drumgw.gate.front import Stage, Whole
+from drumgw.gate.front import Client, Stage, Whole
 from drumgw.gate.gateway import Gateway
 from tests.stage import StandIn, http
 from tests.test_drill import PRODUCT
@@ -552,6 +552,42 @@
         self.assertEqual((worker.came, worker.lines), ([], []))
 
 
+    async def test_while_its_close_lies_unread_as_an_attempt_begins(self) -> None:
+        """The loop had no turn since: first attempts and further ones, by an end or a reset."""
+        for first, reset in ((True, False), (True, True), (False, False), (False, True)):
+            workers = [await self.stand_in(http(b"ok") if first else http(status=500)) for _ in range(2)]
+            await self.begin(*(worker.address for worker in workers))
+            line, attempts = self.client(), list[int]()
+
+            def before() -> None:
+                attempts.append(1)      # noqa: B023
+                if len(attempts) == (1 if first else 2):    # noqa: B023
+                    line.close(reset)       # noqa: B023
+            with mock.patch.object(self.gateway.workers.lines, "before", before):
+                line.write(request(Request_Timeout="60000m"))
+                await until(lambda: attempts)   # noqa: B023
+                await until(lambda: self.empty() and not self.gateway.front.crowd())
+            came = sum(len(worker.came) for worker in workers)
+            self.assertEqual(came, 0 if first else 1, (first, reset))
+            await self.end()
+
+    async def test_while_so_many_of_its_requests_wait_that_nothing_more_is_read(self) -> None:
+        """Guards workers: the close lies behind what is not read, and each request would be sent on."""
+        answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        worker = await self.stand_in(lambda head, body: answer)
+        await self.begin(worker.address)
+        line = self.client()
+        line.write(b"".join(request(Request_Id=f"{n:x}", Request_Timeout="60000m") for n in range(1000)))
+        await until(lambda: worker.came)
+        (client,) = self.gateway.front.server.connections
+        assert isinstance(client, Client)
+        await until(lambda: client._buffer_paused)
+        line.sock.shutdown(socket.SHUT_WR)      # an end of both would be told by the first answer's reset
+        answer.set_result(http(b"ok"))
+        await until(lambda: self.empty() and not self.gateway.front.crowd())
+        self.assertEqual(len(worker.came), 1)
+
+
 class Signals(CrossingCase):
     async def test_sigterm_during_the_imports_ends_with_0(self) -> None:
         """Its default ends the process as by a crash; here it comes between the program's own lines."""
