An older whole list drops whom it leaves out: a renumbered agent's drains came after 6 s

Seen (forced on sockets): SIGHUP moves to an agent whose numbering is lower and whose first whole list leaves out a draining worker; requests went on to that worker for 6,026 ms. What the new agent has counts as told 4 s after SIGHUP, anything else 6 s after discovery had it, less the grace. Ruled out: the calls themselves (the list was read within one pace); changes and rows that say they leave (heeded at once before). At fault: Muster.heed did not look at whom a whole older list does not name; only RENUMBERED_MS later was the numbering taken for a new one. Change: absence in an older whole list is leaving. A worker that joined since is lost until the next newer list; an older list still brings nobody back.

--- a/drumgw/gate/muster.py
+++ b/drumgw/gate/muster.py
@@ -4,7 +4,8 @@
    at a start is old: until the agent has spoken nobody is let in and nothing is sent. Only where it says
    nothing for SILENT_START_MS does the known list stand in, until it speaks.
 2. Its lists are taken in the order of their generations. An older one undoes nothing: of it only leaving
-   workers and later starts are heeded. One that is older for RENUMBERED_MS is a numbering begun anew.
+   workers (those that a whole one does not name among them) and later starts are heeded. One that is older
+   for RENUMBERED_MS is a numbering begun anew.
 3. A row says that a worker leaves by its id and lifecycle alone. One that can't be read changes nothing,
    so the last that could stands; a list of none but such rows is no list.
 4. In silence the last list stands. After SIGHUP all this goes on with the new agent.
@@ -113,13 +114,18 @@
     def adopt(self, read: Read, whole: bool) -> Change:
         """As it stands. Who is not named in a whole list is gone; who can't be read stays what it was."""
         changed = {name: row for name, row in read.items() if row is not None and self.rows.get(name) != row}
-        if whole:
-            changed |= {name: leaving(name, Health.GONE) for name in self.rows.keys() - read.keys()}
-        return self.change(read, changed, whole)
-
-    def heed(self, read: Read, _whole: bool) -> Change:
-        """Of an older list: who leaves, and later starts of those that are known. It undoes nothing."""
-        changed = {}
+        return self.change(read, changed | self.unnamed(read, whole), whole)
+
+    def unnamed(self, read: Read, whole: bool) -> dict[str, Row]:
+        """Guards drains, which a whole list may tell by leaving their workers out."""
+        return {name: leaving(name, Health.GONE) for name in self.rows.keys() - read.keys()} if whole else {}
+
+    def heed(self, read: Read, whole: bool) -> Change:
+        """Of an older list: who leaves, and later starts of those that are known. It undoes nothing. Who is
+        not named in a whole one is gone here too: where a numbering began anew, as at another agent after
+        SIGHUP, its drains count long before RENUMBERED_MS. A worker that joined since comes back with the
+        next newer list."""
+        changed = self.unnamed(read, whole)
         for name, row in read.items():
             known = self.rows.get(name)
             if row is None or known is None or known == row:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -189,6 +189,24 @@
             self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
         self.assertEqual((one.came, self.health()), ([], {"s-1": "ready"}))
 
+    async def test_another_agent_with_a_lower_numbering_leaves_a_drain_out(self) -> None:
+        """After SIGHUP what the new agent has counts in 4 s: its drains can't wait for its numbering."""
+        one, other, rows = await self.workers()
+        await self.agent(*rows)
+        assert self.now is not None
+        self.now["generation"] = 41
+        gateway = await self.start([])
+        await self.opened()
+        self.assertEqual(set(await self.ask_all()), {(200, b"one"), (200, b"other")})
+        one.came, self.now = [], None
+        moved = await self.stand_in(listed(3, rows[1]))
+        gateway.station.move(charter(told(moved.address, [])))
+        while "s-0" in gateway.roster.muster.rows:
+            await asyncio.sleep(0.001)
+        self.assertLess(gateway.pulse.now() - gateway.roster.muster.older_at, RENUMBERED_MS)
+        self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
+        self.assertEqual((one.came, self.health()), ([], {"s-1": "ready"}))
+
     async def test_a_thousand_workers_in_one_list(self) -> None:
         """Beyond what a body may hold elsewhere; a drain of all but one of them is one list more."""
         _, other, rows = await self.workers()
