Ready 4 s after a start beside a silent agent; until it speaks all is refused at once

Seen in test_roster: nobody was let in for 20 s. Ruled out: sending by the known list sooner. At fault: Roster.begin held the listener for SILENT_START_MS, as if being ready meant to send. Change: ready after READY_MS (6 s less a third for the start); no worker is known then, so the module refuses at once, and asks no counter for what it can't send. Hosts' tenants wait as before, as one that takes another's place would refuse what that one still serves. Test: Starts ..._longer_than_a_start_may_take; without the module's line it asks the counter, without the gate's it is not ready.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -258,7 +258,7 @@
     def ask(self, h: Held, may_wait: bool) -> bool:
         """True while held for the total, by odds where the counter is crowded; else an allowance counts."""
         a, plan, age = h.account, h.account.plan, self.now - h.account.told
-        needless = not plan.rate or plan.soft and self.asking < 1 and self.quiet(plan)
+        needless = not (plan.rate and self.around) or plan.soft and self.asking < 1 and self.quiet(plan)
         if needless or h.units <= a.lease[h.rank] or h.wait and age < plan.window:
             return False
         if self.has_counter and self.chance.random() < self.asking:
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -13,6 +13,7 @@
 from drumgw.gate.clock import Clock, Pulse
 from drumgw.gate.front import Front
 from drumgw.gate.invariant import broken
+from drumgw.gate.muster import READY_MS
 from drumgw.gate.station import Station
 
 LINGER_MS = 700.0       # after SIGTERM clients still come for so long (the protocol's figure)
@@ -30,11 +31,11 @@
         self.term = asyncio.Event()
 
     async def open(self) -> tuple[str, int]:
-        """Nobody is let in before the agent has spoken: what is known at a start is old (gate/muster.py)."""
+        """Nobody is let in before the agent has spoken, or was silent for READY_MS (gate/muster.py)."""
         self.pulse.beat()
         self.station.start()
         await self.front.bind()
-        await self.roster.begin()
+        await self.roster.begin(READY_MS)
         place = await self.front.open()
         logger.info("{} serves at {}:{}: {} workers listed, at most {} clients and {} lines to workers",
                     self.charter.name, *place, len(self.roster.muster.rows), self.charter.clients,
--- a/drumgw/gate/muster.py
+++ b/drumgw/gate/muster.py
@@ -1,8 +1,9 @@
 """Which word on the workers may be acted on: one rule for all starts and lists. No I/O, no clock.
 
-1. What the agent has counts as told from a process's first moment (the fleet's page), so what is known
-   at a start is old: until the agent has spoken nobody is let in and nothing is sent. Only where it says
-   nothing for SILENT_START_MS does the known list stand in, until it speaks.
+1. What the agent has counts as told from a process's first moment, so what is known at a start is old:
+   until the agent has spoken nothing is sent. Nobody is let in before, for READY_MS at most; after that the
+   gateway is ready, and refuses all at once with a time to come back. Only where the agent says nothing for
+   SILENT_START_MS does the known list stand in, until it speaks.
 2. Its lists are taken in the order of their generations. An older one undoes nothing: of it only leaving
    workers (those that a whole one does not name among them) and later starts are heeded. One that is older
    for RENUMBERED_MS is a numbering begun anew.
@@ -23,7 +24,8 @@
 from drumgw.interface import Health
 from drumgw.terms import Names
 
-SILENT_START_MS = 20000.0   # ready within 30 s (the fleet's page), less a third for a slow start
+READY_MS = 4000.0   # ready within 6 s of a start (the shortest that is asked for), less a third for the start
+SILENT_START_MS = 20000.0   # longer than any outage that the operators' pages know of
 RENUMBERED_MS = 6000.0      # what discovery has to tell counts as told by then (the protocol's figure)
 MOST_NAME = 256             # characters of an id
 STATES = {"up": Health.READY, "draining": Health.DRAINING, "removed": Health.GONE}
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -44,7 +44,7 @@
             self.pace_ms = PACE_MOST_MS
         self.watch_ms = charter.watch_ms or self.pace_ms
         self.heard, self.unread, self.behind = True, 0, False   # modes that the log told
-        self.spoke = asyncio.Event()
+        self.listed = asyncio.Event()   # the agent spoke, or the known list stands in
         self.heard_at = self.looked_at = self.scout_at = self.pulse.now()
         self.move(charter.discovery)
 
@@ -62,17 +62,25 @@
             if call is not answered:
                 call.cancel()
 
-    async def begin(self) -> None:
-        """Until the agent has spoken, or has been silent for so long that the known list stands in."""
+    async def begin(self, patience_ms: float) -> None:
+        """Returns once there is a list, and after the patience without one: no worker is known then, so the
+        module refuses all that comes, at once and with a time to come back."""
         self.heard_at, self.scout_at = self.pulse.now(), self.pulse.now() + self.pace_ms
-        self.tasks = [asyncio.create_task(self.watch()), asyncio.create_task(self.scout())]
+        self.tasks = [asyncio.create_task(task()) for task in (self.watch, self.scout, self.stand_in)]
         try:
-            async with asyncio.timeout(SILENT_START_MS / 1000):
-                await self.spoke.wait()
+            async with asyncio.timeout(patience_ms / 1000):
+                await self.listed.wait()
         except TimeoutError:
+            logger.warning("{}discovery was silent for {:.0f} s from the start: {}", self.desk.said,
+                           patience_ms / 1000, "all is refused until it speaks")
+
+    async def stand_in(self) -> None:
+        await asyncio.sleep(SILENT_START_MS / 1000)
+        if not self.listed.is_set():
             logger.warning("{}discovery was silent for {:.0f} s from the start: the known list stands in",
                            self.desk.said, SILENT_START_MS / 1000)
             self.act(self.muster.stand_in(self.charter.known), "list known")
+            self.listed.set()
 
     async def close(self) -> None:
         for task in (*self.tasks, *self.calls):
@@ -161,7 +169,7 @@
         self.act(change, f"list {self.muster.newest}, asked {now - asked_at:.0f} ms ago, "
                          f"nothing heard for {silent_ms:.0f} ms before")
         self.hear(None)
-        self.spoke.set()
+        self.listed.set()
         if not over.done():
             over.set_result(None)
 
@@ -201,7 +209,7 @@
             logger.info("{}discovery heard", self.desk.said)
         else:
             logger.warning("{}discovery lost: {}; {}", self.desk.said, str(error) or type(error).__name__,
-                           "the last list stands" if self.spoke.is_set() else "nobody is let in yet")
+                           "the last list stands" if self.listed.is_set() else "nothing is sent yet")
 
 
 def fail(over: asyncio.Future[None], error: BaseException) -> None:
--- a/drumgw/host/hosting.py
+++ b/drumgw/host/hosting.py
@@ -12,6 +12,7 @@
 
 from drumgw.gate.charter import BadCharter
 from drumgw.gate.clock import Pulse
+from drumgw.gate.muster import SILENT_START_MS
 from drumgw.gate.station import Station
 from drumgw.host.registry import ACTIVE, DRAINING, Change, Obj, Registry, Tenant
 from drumgw.host.shares import Shares, Turns
@@ -124,9 +125,10 @@
         return Station(tenant_charter(self.house, tenant.name, tenant.serial, spec, lines), self.pulse)
 
     async def begin(self, seat: Seat) -> None:
-        """Nobody is let in there before its own discovery has spoken."""
+        """Nobody is let in there before its own discovery has spoken: one that takes another's place would
+        refuse what that one still serves."""
         seat.station.start()
-        await seat.station.roster.begin()
+        await seat.station.roster.begin(SILENT_START_MS)
         seat.ready = True
         if self.coming.get(seat.name) is seat:
             old = self.seats[seat.name]
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -16,7 +16,7 @@
 from drumgw.gate.muster import RENUMBERED_MS, UNREADABLE, Change, Muster
 from drumgw.interface import Health
 from tests.stage import TRACES, StandIn, http
-from tests.test_gate import GateCase, charter, instance, settings, told
+from tests.test_gate import POSTED, GateCase, charter, instance, settings, told
 
 Obj = dict[str, Any]
 
@@ -115,6 +115,28 @@
         self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
         self.assertEqual((len(one.came), self.asked[0]), (came, "/registry/instances"))
 
+    async def test_silent_for_longer_than_a_start_may_take(self) -> None:
+        """It is ready, and refuses all at once by itself: the known list may name workers that have left."""
+        one, other, known = await self.workers()
+        counter = await self.stand_in(http(b"0"))
+        await self.agent({**known[0], "lifecycle": "draining"}, known[1])
+        held, self.now = self.now, None
+        family = {"counter": True, "countWaitMs": 5000.0, "unitsTop": 9}
+        with mock.patch("drumgw.gate.gateway.READY_MS", 0.0):
+            gateway = await self.start(known, counter=counter.address, settings=settings(familyInfo=family))
+            await self.opened()
+        self.assertEqual((await self.ask("/health/ready"))[0], 200)
+        for target, method in (("/a?account=00000000b4d65521", "GET"), (POSTED, "POST")):
+            status, _, head = await self.ask(target, method, Request_Timeout="60000m")
+            self.assertEqual(status, 503)
+            self.assertRegex(head, rb"Retry-After: 0\.[1-9]")
+        self.assertEqual((one.lines, other.lines, counter.lines), ([], [], []))
+        self.assertFalse(gateway.roster.listed.is_set())
+        self.now = held
+        await self.until("since=7&")
+        self.assertEqual(set(await self.ask_all()), {(200, b"other")})
+        self.assertEqual((one.came, self.health()), ([], {"s-0": "draining", "s-1": "ready"}))
+
     async def test_told_to_end_while_it_waits_for_discovery(self) -> None:
         discovery = await self.stand_in(None)
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
