A shared discovery is asked by one call at a time, and left alone when it turns away

A probe that logged each call: answers came 157 ms apart, a turned away call after exactly 2,001 ms; only calls that went on within 200 ms of the last answer were free. So the service works 0.15 s for each new call, also for one that its caller gave up, and gives up itself after 2 s; 40 gateways with a watch of 75 ms and a scout each pace kept its line longer than that for good. Ruled out: silence of the service (it answered each call), lists that could not be read, our own stalls. At fault: Roster.watch and Roster.scout take every discovery for an agent of our own, though the settings say "discovery": "ask"; each retry costs what the call cost. An agent of our own ("push") is asked as before. Tests: SharedService (four); three of them fail with the old way of asking, a fleet of 24 with 384 calls and more. Forced and found to hold before: idle clients that fill the descriptors during an outage (Crowded).

--- a/drumgw/gate/charter.py
+++ b/drumgw/gate/charter.py
@@ -37,6 +37,7 @@
     idle_ms: float          # a connection to a worker is kept this long at most
     connect_ms: float
     grace_ms: float = DRAIN_MS      # from the moment that a drain counts as told to the last send
+    shared_discovery: bool = False  # lists are asked of a service with bounds, not of an agent of our own
     watch_ms: float = 0.0   # the agent may let a call wait so long; 0: as the grace has it
     prefix: str = ""        # of the names of its counts, where several share a counter
     said: str = ""          # before its lines in the log, where several write one
@@ -100,4 +101,5 @@
         clients=free - lines, asking=min(free - lines, sockets // 3) * 3 // 4, lines=lines,
         idle_ms=float(allowed.get("connIdleMs") or 0) / 2,      # never near the worker's own limit
         connect_ms=float(allowed.get("connectTimeoutMs") or 1000.0),
-        grace_ms=DRAIN_MS if grace is None else float(grace))
+        grace_ms=DRAIN_MS if grace is None else float(grace),
+        shared_discovery=settings.get("discovery") == "ask")
--- a/drumgw/gate/muster.py
+++ b/drumgw/gate/muster.py
@@ -68,6 +68,14 @@
         self.newest: int | None = None      # the generation acted on; none: without one, or not heard yet
         self.older_at = 0.0                 # since when the agent is behind
         self.rows: dict[str, Row] = {}      # workers on the list; emptied by it
+        self.base: Read = {}                # what the first changes are changes of; dropped with them
+
+    def build_on(self, known: dict[str, Any]) -> None:
+        """Asks first for what changed since the known list, which costs a shared service less than a whole
+        one. Nothing is sent by it before that is answered."""
+        generation = known.get("generation")
+        if isinstance(generation, int) and not isinstance(generation, bool) and generation >= 0:
+            self.base, self.since = self.read(rows_of(known)), generation
 
     def stand_in(self, known: dict[str, Any]) -> Change:
         """The known list, while the agent says nothing. Whatever the agent says first goes before it."""
@@ -79,7 +87,11 @@
         if isinstance(generation, bool) or not isinstance(generation, int) or generation < 0:
             generation = None
         whole = plain or bool(told.get("reset"))
-        read, word = self.read(rows), self.word(now, generation, whole)
+        read = self.read(rows)
+        if self.state is WAITING and self.base and not whole:
+            read, whole = self.base | read, True
+        self.base = {}
+        word = self.word(now, generation, whole)
         if word == "older" and self.state is IN_STEP:
             self.older_at = now
         self.since = self.next_since(now, generation, whole)
--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/roster.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import json
+import random
+from enum import Enum
 from functools import partial
 
 from loguru import logger
@@ -20,11 +22,37 @@
 SLACK_MS = 50.0     # by which each limit grows on sockets (the protocol's figure)
 AGAIN_MS = 50.0     # between two calls of a watch; under the protocol's gap of 200 ms
 LOOK_MS = 50.0      # nothing is sent on a word of the agent's that has lain unread for longer
+# Of a shared service: how long a call may wait for news, so that one that fell silent is known to be, and
+# another answered, within the 6 s after which a change counts as told
+NEWS_MS, ANSWER_MS, SILENT_MS = 3500.0, 5500.0, 5000.0
+GO_ON_MS = 150.0    # between two of its calls; under the 200 ms in which a watch goes on
+RETRY_MS, RETRY_MOST_MS = 250.0, 2000.0     # after a call that failed; doubled with each further one
+# After one that was turned away. Its line is then longer than any call waits for, and each call lengthens it,
+# answered or not: the pause grows beyond the time in which it can take a call of every gateway (8 s at most)
+BACK_OFF_MS, BACK_OFF_MOST_MS = 4000.0, 16000.0
+MOST_DOUBLINGS = 3      # of a pause
+TOO_MANY = (429, 503)
 LINES, IDLE_MS, CONNECT_MS = 2, 5000.0, 1000.0      # a watch and a scout
 PATH = "/registry/instances"
 MOST_LIST = 4 * 1024 * 1024     # bytes; thousands of workers
 
 
+class Outcome(Enum):
+    """How a call to discovery ended."""
+
+    ANSWERED = "answered"
+    TURNED_AWAY = "turned away: the service has too many calls"
+    FAILED = "failed"
+    DROPPED = "given up: discovery moved, or another call was answered"
+
+
+class TurnedAway(ValueError):
+    """Discovery has too many calls."""
+
+
+PAUSES = {Outcome.TURNED_AWAY: (BACK_OFF_MS, BACK_OFF_MOST_MS), Outcome.FAILED: (RETRY_MS, RETRY_MOST_MS)}
+
+
 class Roster:
     def __init__(self, charter: Charter, desk: Desk, workers: Workers) -> None:
         self.charter, self.desk, self.workers, self.pulse = charter, desk, workers, desk.pulse
@@ -46,6 +74,9 @@
         self.heard, self.unread, self.behind = True, 0, False   # modes that the log told
         self.listed = asyncio.Event()   # the agent spoke, or the known list stands in
         self.heard_at = self.looked_at = self.scout_at = self.pulse.now()
+        self.chance = random.Random(charter.seed)   # spreads what all gateways do after the same failure
+        if charter.shared_discovery:
+            self.muster.build_on(charter.known)
         self.move(charter.discovery)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -66,7 +97,8 @@
         """Returns once there is a list, and after the patience without one: no worker is known then, so the
         module refuses all that comes, at once and with a time to come back."""
         self.heard_at, self.scout_at = self.pulse.now(), self.pulse.now() + self.pace_ms
-        self.tasks = [asyncio.create_task(task()) for task in (self.watch, self.scout, self.stand_in)]
+        asking = (self.subscribe,) if self.charter.shared_discovery else (self.watch, self.scout)
+        self.tasks = [asyncio.create_task(task()) for task in (*asking, self.stand_in)]
         try:
             async with asyncio.timeout(patience_ms / 1000):
                 await self.listed.wait()
@@ -94,6 +126,21 @@
         while True:
             await self.call(self.watch_ms, SLOW_MS, min(AGAIN_MS, self.pace_ms))
 
+    async def subscribe(self) -> None:
+        """Of a shared service: one call at a time, and none given up that may still have its turn. Guards the
+        service: many gateways that ask again before its line has come to them keep it too long for all."""
+        outcome, failures = await self.call(0.0, ANSWER_MS, 0.0), 0     # answered though there is no news
+        while True:
+            going_on = outcome is Outcome.ANSWERED
+            outcome = await self.call(NEWS_MS, SILENT_MS if going_on else ANSWER_MS, GO_ON_MS)
+            if outcome in PAUSES:
+                least_ms, most_ms = PAUSES[outcome]
+                pause_ms = min(most_ms, least_ms * 2**failures) * self.chance.uniform(0.5, 1.5)
+                failures = min(failures + 1, MOST_DOUBLINGS)
+                await asyncio.sleep(pause_ms / 1000)
+            else:
+                failures = 0
+
     async def scout(self) -> None:
         """While the agent is silent: a call that is out as it comes back may hear nothing, a new one does."""
         while True:
@@ -102,7 +149,7 @@
             else:
                 await self.call(self.pace_ms / 2, self.pace_ms, self.pace_ms)
 
-    async def call(self, wait_ms: float, patience_ms: float, least_ms: float) -> None:
+    async def call(self, wait_ms: float, patience_ms: float, least_ms: float) -> Outcome:
         """One call that the agent may let wait; given up when another one is answered or discovery moves."""
         end = self.pulse.now() + least_ms
         call = asyncio.create_task(self.ask(wait_ms, patience_ms))
@@ -112,10 +159,14 @@
         finally:
             self.calls.discard(call)
             call.cancel()
-        if not call.cancelled():
-            if (error := call.exception()) is not None:
-                self.hear(error)
-            await asyncio.sleep(max(0.0, end - self.pulse.now()) / 1000)
+        if call.cancelled():
+            return Outcome.DROPPED
+        if (error := call.exception()) is not None:
+            self.hear(error)
+        await asyncio.sleep(max(0.0, end - self.pulse.now()) / 1000)
+        if error is None:
+            return Outcome.ANSWERED
+        return Outcome.TURNED_AWAY if isinstance(error, TurnedAway) else Outcome.FAILED
 
     async def ask(self, wait_ms: float, patience_ms: float) -> None:
         trip, over, end = Trip(), self.desk.loop.create_future(), self.pulse.now() + patience_ms
@@ -159,7 +210,8 @@
         now = self.looked_at = self.pulse.now()
         try:
             if message.code != 200:
-                raise ValueError(f"discovery answers {message.code}")
+                kind = TurnedAway if message.code in TOO_MANY else ValueError
+                raise kind(f"discovery answers {message.code}")
             change = self.muster.take(now, json.loads(body), plain)
         except Exception as error:      # no list that can be read: the last one stands
             fail(over, error)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import resource
 import select
 import socket
 import struct
@@ -327,43 +328,47 @@
         self.assertEqual((len(worker.came), len(worker.lines)), (3, 1))
 
 
-class Outages(CrossingCase):
-    """An agent that comes back may answer no call that was out: whatever the length, it is asked in time."""
+class WatchingCase(CrossingCase):
+    """A scripted agent, which falls silent and comes back when its test says so."""
 
     async def begin_watching(self, grace_ms: float) -> tuple[Peer, Gateway, list[str]]:
-        agent, self.deaf = self.peer(), False
+        agent, self.deaf, asked = self.peer(), False, list[str]()
         contract = {**settings()["contract"], "stopSendingWithinMs": grace_ms}
         self.generation, self.lifecycle = 1, "up"
-        rows = [instance("s-0", "127.0.0.1:1")]
-        gateway = Gateway(charter(told(agent.address, rows, settings=settings(contract=contract))))
-        self.gateway, asked = gateway, list[str]()
-
-        async def serve(line: Line) -> None:
-            """The calls that come while it is deaf are never answered; others at once or after their wait."""
-            with suppress(EOFError, ConnectionError, TimeoutError):
-                while True:
-                    target = (await line.read(b"\r\n\r\n")).split()[1].decode()
-                    asked.append(target)
-                    if self.deaf:
-                        continue
-                    if f"since={self.generation}&" in target:
-                        await asyncio.sleep(float(target.partition("timeout_ms=")[2]) / 1000)
-                    if not self.deaf:
-                        row = instance("s-0", "127.0.0.1:1", self.lifecycle)
-                        news = [] if f"since={self.generation}&" in target else [row]
-                        line.write(http(json.dumps({
-                            "generation": self.generation, "reset": "since=" not in target,
-                            "instances": news}).encode()))
-
-        async def accept() -> None:
-            while True:
-                self.tasks.append(asyncio.create_task(serve(await agent.accept())))
-        self.tasks = [asyncio.create_task(accept())]
+        self.rows = [instance("s-0", "127.0.0.1:1")]
+        gateway = Gateway(charter(told(agent.address, self.rows, settings=settings(contract=contract))))
+        self.gateway = gateway
+        self.tasks = [asyncio.create_task(self.accept(agent, asked))]
         self.addCleanup(lambda: [task.cancel() for task in self.tasks])
         self.place = await gateway.open()
         self.addAsyncCleanup(self.end)
         return agent, gateway, asked
 
+    async def accept(self, agent: Peer, asked: list[str]) -> None:
+        while True:
+            self.tasks.append(asyncio.create_task(self.serve(await agent.accept(), asked)))
+
+    async def serve(self, line: Line, asked: list[str]) -> None:
+        """The calls that come while it is deaf are never answered; others at once or after their wait."""
+        with suppress(EOFError, ConnectionError, TimeoutError):
+            while True:
+                target = (await line.read(b"\r\n\r\n")).split()[1].decode()
+                asked.append(target)
+                if self.deaf:
+                    continue
+                if f"since={self.generation}&" in target:
+                    await asyncio.sleep(float(target.partition("timeout_ms=")[2]) / 1000)
+                if not self.deaf:
+                    news = [] if f"since={self.generation}&" in target else [
+                        {**self.rows[0], "lifecycle": self.lifecycle}, *self.rows[1:]]
+                    line.write(http(json.dumps({
+                        "generation": self.generation, "reset": "since=" not in target,
+                        "instances": news}).encode()))
+
+
+class Outages(WatchingCase):
+    """An agent that comes back may answer no call that was out: whatever the length, it is asked in time."""
+
     async def test_outages_of_any_length_are_over_within_the_grace(self) -> None:
         """Guards drains. Between the loss and the return no call is answered, nor any that was out."""
         _, gateway, asked = await self.begin_watching(grace_ms=1000.0)
@@ -391,6 +396,67 @@
             await self.end()
 
 
+class Process:
+    """A gateway's own process, and what it says."""
+
+    def __init__(self, run: asyncio.subprocess.Process, path: str) -> None:
+        assert run.stderr
+        self.run, self.log, self.path = run, run.stderr, path
+
+    @staticmethod
+    async def start(config: dict[str, Any], descriptors: int = 0) -> Process:
+        """Started, and not ready yet; with so many descriptors at most, which its system enforces."""
+        def bound() -> None:
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            json.dump(config, file)
+        return Process(await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "drumgw", env={**os.environ, "GW_CONFIG": file.name},
+            stderr=asyncio.subprocess.PIPE, preexec_fn=bound), file.name)
+
+    async def says(self, words: bytes) -> bytes:
+        """The first line from here on that holds the words."""
+        async with asyncio.timeout(BOUND_S):
+            while words not in (line := await self.log.readline()):
+                if not line:
+                    raise EOFError("it ended early")
+        return line
+
+    async def serves(self) -> tuple[str, int]:
+        line = await self.says(b" serves at ")
+        os.unlink(self.path)
+        host, _, port = line.split(b" serves at ")[1].split(b": ")[0].decode().rpartition(":")
+        return host, int(port)
+
+
+class Crowded(WatchingCase):
+    """Idle clients fill the descriptors while discovery is down: its return is heard, and service goes on."""
+
+    async def test_an_outage_beside_idle_clients_that_fill_the_descriptors(self) -> None:
+        worker, agent = await self.stand_in(http(b"ok")), self.peer()
+        self.deaf, self.generation, self.lifecycle, asked = False, 1, "up", list[str]()
+        self.rows = [instance("s-0", "127.0.0.1:1"), instance("s-1", worker.address)]
+        self.tasks = [asyncio.create_task(self.accept(agent, asked))]
+        self.addCleanup(lambda: [task.cancel() for task in self.tasks])
+        config = told(agent.address, self.rows, limits={"sockets": 64})
+        process = await Process.start(config, descriptors=64)
+        self.place = await process.serves()
+        idle = list[Line]()
+        for _ in range(3):
+            self.deaf = True
+            idle += [self.client() for _ in range(120)]     # twice what it may hold; it closes the first
+            self.generation, self.lifecycle = self.generation + 1, "draining"
+            self.deaf, before = False, len(asked)
+            await process.says(f" list {self.generation}, ".encode())
+            self.assertLessEqual(len(asked) - before, 4)    # the grace is as long as four paces
+            self.assertEqual((await self.ask(Request_Timeout="60000m"))[:2], (200, b"ok"))
+            self.lifecycle, self.generation = "up", self.generation + 1
+            await process.says(f" list {self.generation}, ".encode())
+        process.run.terminate()
+        self.assertEqual(await process.run.wait(), 0)
+
+
 class Partings(CrossingCase):
     """Bytes that come in the moment in which the gateway closes a connection."""
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -14,6 +14,7 @@
 from drumgw.gate.charter import MOST_BODY
 from drumgw.gate.gateway import Gateway
 from drumgw.gate.muster import RENUMBERED_MS, UNREADABLE, Change, Muster
+from drumgw.gate.roster import PAUSES, Outcome
 from drumgw.interface import Health
 from tests.stage import TRACES, StandIn, http
 from tests.test_gate import POSTED, GateCase, charter, instance, settings, told
@@ -289,6 +290,100 @@
         self.assertEqual(len(gateway.workers.actors), 2)
 
 
+class SharedService(Agent):
+    """Lists are asked of one service for all: it has a line, and turns away who finds it long."""
+
+    ASKED = settings(discovery="ask", balancers=1024)
+
+    async def test_a_start_asks_for_what_changed_since_its_known_list(self) -> None:
+        """Not for the whole list, and nothing is sent by the known one before the answer."""
+        one, other, known = await self.workers()
+        drained = {"instanceId": "s-0", "lifecycle": "draining"}
+        await self.agent()
+        self.now = {"generation": 8, "reset": False, "instances": [drained]}
+        gateway = Gateway(charter({**told(self.discovery.address, known, settings=self.ASKED),
+                                   "known": {"generation": 5, "reset": True, "instances": known}}))
+        self.gateway = gateway
+        self.assertEqual((gateway.roster.muster.rows, gateway.workers.actors), ({}, {}))
+        self.place = await gateway.open()
+        self.addAsyncCleanup(self.end)
+        info = "units=1,spread=1024,first=1023"
+        self.assertEqual((await self.ask(Quota_Info=info))[:2], (200, b"other"))
+        await self.until("since=8&")
+        self.assertEqual(self.asked, ["/registry/instances?since=5&timeout_ms=0",
+                                      "/registry/instances?since=8&timeout_ms=3500"])
+        self.assertEqual((one.came, self.health()), ([], {"s-0": "draining", "s-1": "ready"}))
+
+    async def test_a_watch_goes_on_after_news(self) -> None:
+        _, _, known = await self.workers()
+        await self.agent(*known)
+        await self.start([], settings=self.ASKED)
+        await self.opened()
+        await self.until("since=7&")
+        self.now = {"generation": 8, "reset": False, "instances": [{**known[0], "lifecycle": "draining"}]}
+        async with self.news:
+            self.news.notify_all()
+        await self.until("since=8&")
+        self.assertEqual(self.health(), {"s-0": "draining", "s-1": "ready"})
+        self.assertEqual(self.asked, ["/registry/instances?since=1&timeout_ms=0",
+                                      "/registry/instances?since=7&timeout_ms=3500",
+                                      "/registry/instances?since=8&timeout_ms=3500"])
+
+    async def pauses(self, seed: str, *outcomes: Outcome) -> list[float]:
+        """Between calls that end so."""
+        await self.agent()
+        roster = Gateway(charter(told(self.discovery.address, [], settings=self.ASKED, seed=seed))).roster
+        slept = list[float]()
+
+        async def sleep(seconds: float) -> None:
+            slept.append(seconds * 1000)
+        with mock.patch.object(roster, "call", mock.AsyncMock(side_effect=outcomes)), \
+                mock.patch("asyncio.sleep", sleep), self.assertRaises(StopAsyncIteration):
+            await roster.subscribe()
+        return slept
+
+    async def test_who_is_turned_away_waits_longer_each_time_and_not_as_others_do(self) -> None:
+        """Guards the service against a fleet that comes again in step."""
+        away, failed, told = Outcome.TURNED_AWAY, Outcome.FAILED, Outcome.ANSWERED
+        outcomes = told, away, away, away, away, away, told, away, told, failed, failed
+        one, other = await self.pauses("8c1f", *outcomes), await self.pauses("8c20", *outcomes)
+        middles = 4000.0, 8000.0, 16000.0, 16000.0, 16000.0, 4000.0, 250.0, 500.0
+        for pause, middle in zip(one, middles, strict=True):
+            self.assertTrue(0.5 * middle <= pause <= 1.5 * middle, (pause, middle))
+        self.assertEqual(set(one) & set(other), set())
+
+    async def test_a_fleet_that_starts_at_once_is_served_in_turn(self) -> None:
+        """Each call keeps the service for a while, also one that nobody waits for any more."""
+        line, took_s, most, asked, gateways = asyncio.Lock(), 0.02, 8, list[str](), 24
+        waiting = 0
+
+        async def serve(head: bytes, body: bytes) -> bytes | None:
+            nonlocal waiting
+            asked.append(head.split()[1].decode())
+            if "since=2&" in asked[-1]:
+                return None     # a watch that goes on is free, and has no news
+            if waiting >= most:
+                return http(status=503)
+            waiting += 1
+            async with line:
+                await asyncio.sleep(took_s)
+            waiting -= 1
+            return listed(2, instance("s-0", "127.0.0.1:1"))
+        service = await self.stand_in(serve)
+        fleet = [Gateway(charter(told(service.address, [], settings=self.ASKED, seed=f"{n + 1:x}")))
+                 for n in range(gateways)]
+        pauses = {outcome: (least / 8, most / 8) for outcome, (least, most) in PAUSES.items()}
+        opening = [asyncio.create_task(gateway.open()) for gateway in fleet]
+        with mock.patch("drumgw.gate.gateway.LINGER_MS", 0.0), \
+                mock.patch.dict("drumgw.gate.roster.PAUSES", pauses):
+            for gateway, task in zip(fleet, opening, strict=True):
+                await task
+                self.assertTrue(gateway.roster.listed.is_set())
+            for gateway in fleet:
+                await gateway.close()
+        self.assertLess(sum("since=2&" not in target for target in asked), 6 * gateways)
+
+
 ROW = instance("s-a", "127.0.0.1:1")
 
 
