Once-only requests keep away from workers on which another product rests

At fault: Gatekeeper.pick asked only the request's own product whether a worker is well. Change: once-only requests leave out workers where another product rests, and for as long again, in which requests that may run again try it first; where none is left, all of them stand.

--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -199,6 +199,8 @@
         if len(near) < NEAR_FEW:    # not more: each further one may be as sick, and is found out by a txn
             further = (w for w in self.around[self.near:] if w not in h.tried and self.able(w, h))
             near += islice(further, NEAR_FEW - len(near))
+        if self.products[h.product].repeat is Repeat.ONCE:  # a failure is final: others find out who is well
+            near = [w for w in near if not self.doubted(w, h)] or near
         near = near or [w for w in self.around if self.allowed(w, h) and self.warmth(w) >= 1]
         near.sort(key=lambda w: (w.key ^ h.account.key) * 0x9E3779B97F4A7C15 & (2**64 - 1))
         fair = ENOUGH / max(1e-9, sum(1 / w.slow for w in near))
@@ -223,6 +225,11 @@
             return False
         return self.allowed(w, h) and (self.warmth(w) >= 1.0 or self.cold_tokens(w) >= 1.0)
 
+    def doubted(self, w: Worker, h: Held) -> bool:
+        """While another product rests there, and for as long again, in which that one may be tried first."""
+        return any(lane.state is not FIT and self.now < lane.until + lane.rest_ms
+                   for k, lane in enumerate(w.lanes) if k != h.product)
+
     def warmth(self, w: Worker) -> float:
         age = 1.0 if w.born is None else (self.now - w.born) / max(1.0, self.cold_ms)
         return min(1.0, self.cold_from + (1 - self.cold_from) * age)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -303,6 +303,35 @@
         s.note(f"after its rest it is tried: of 6 txns out at once it has {first}")
         self.same(s, "failing")
 
+    def test_once_only_keeps_away_from_a_worker_that_failed_anything(self) -> None:
+        """Guards what can't be sent again: requests that may run again find out whether a worker is well."""
+        s = Stage(counter=False)
+
+        def once(bad: int) -> int:
+            """How many of 20 once-only requests go to the worker."""
+            chosen = list[int]()
+            for customer in range(2, 22):
+                txn = s.txn(0, 0.1, customer)
+                chosen.append(s.out[txn][0])
+                s.answer(txn)
+            return chosen.count(bad)
+        failed = s.txn(1, 0.1)
+        bad = s.out[failed][0]
+        s.answer(failed, End.ERROR)
+        s.answer(failed)
+        s.note(f"worker {bad} failed what may run again; of 20 once-only requests it got {once(bad)}")
+        s.tick(17000)
+        s.note(f"its rest is over, and nothing tried it yet: {once(bad)}")
+        tried = set[int]()
+        for customer in range(22, 62):
+            txn = s.txn(1, 0.1, customer)
+            tried.add(s.out[txn][0])
+            s.answer(txn)
+        self.assertIn(bad, tried)
+        s.note(f"a trial settled: {once(bad)}")
+        s.trace = [line for line in s.trace if "--" in line or "rests" in line]
+        self.same(s, "once-careful")
+
     def test_late_answers_shed_the_lower_class_first(self) -> None:
         s = Stage(counter=False, gatekeepers=10)
         for took in (100.0, 1900.0, 100.0):
