--- a/drumgw/control.py
+++ b/drumgw/control.py
@@ -21,6 +21,7 @@
 
 from drumgw import interface as api
 from drumgw.interface import End, Group, Health, Repeat
+from drumgw.stable_hash import stable_hash
 
 SHARES, FLOORS = (0.70, 0.20, 0.10), (0.70, 0.10, 0.05)   # the source's; classes ranked by value
 BLOCK_MS, BLOCK_PART = 1000.0, 0.2    # a block is this much demand here, this part of the quota at most
@@ -48,22 +49,12 @@
 Table = dict[tuple[str, str], tuple[str, Callable[..., "str | None"]]]
 
 
-def mix(*parts: int) -> int:
-    """A stable hash, the same at all gateways."""
-    x = 0
-    for part in parts:
-        x = ((x ^ part & (2**64 - 1)) * 0x9E3779B97F4A7C15 + 0x632BE59BD9B4E019) & (2**64 - 1)
-        x = (x ^ x >> 29) * 0xBF58476D1CE4E5B9 & (2**64 - 1)
-        x ^= x >> 32
-    return x >> 1
-
-
 class Worker:
     """One worker. Dropped when the list lacks it and nothing is out."""
 
     def __init__(self, entry: api.Entry, now: float, chance: float, products: int) -> None:
         self.wid, self.zone, self.cell, self.born = entry.worker, entry.zone, entry.cell, entry.born_ms
-        self.key, self.listed = mix(entry.worker), True
+        self.key, self.listed = stable_hash(entry.worker), True
         self.lanes = [SimpleNamespace(state=FIT, until=0.0, rest_ms=0.0, failures=0.0, heard_at=LONG_AGO)
                       for _ in range(products)]     # a worker may fail one product and serve the others
         self.out: dict[int, tuple[float, float, int]] = {}   # txn: sent, overdue, product; emptied by answers
@@ -85,7 +76,8 @@
 
     def __init__(self, plan: Plan, t: api.Txn, keeper: Gatekeeper) -> None:
         classes, now, top = keeper.classes, keeper.now, keeper.top_units
-        self.plan, self.customer, self.gates, self.key = plan, t.customer, max(1, t.gates), mix(t.customer)
+        self.plan, self.customer = plan, t.customer
+        self.gates, self.key = max(1, t.gates), stable_hash(t.customer)
         self.at = self.window_at = now
         self.use, self.spent, self.last = ([0.0] * classes for _ in range(3))   # all gateways'; by window
         self.mine, self.lease = ([0.0] * classes for _ in range(2))     # pace of spending; unspent blocks
@@ -336,7 +328,7 @@
         """Adds to the customer's count for a txn. A blind counter is asked seldom until it answers."""
         if self.counter.state is BLIND and self.now - self.call_at < TICK_MS / self.asking:
             return False
-        name, self.call_at = mix(h.account.customer, h.epoch - back), self.now
+        name, self.call_at = stable_hash(h.account.customer, h.epoch - back), self.now
         calls = self.calls.setdefault(name, [])
         before = h.account.count * (h.account.counted == h.epoch) + sum(math.floor(c.amount) for c in calls)
         calls.append(Call(h, amount, h.epoch - back, fix, before))
@@ -391,7 +383,8 @@
             a.rate += min(1.0, dt / RATE_MEMORY_MS) * (news / dt - a.rate)
         a.count, a.counted = told, h.epoch
         h.lag, h.top, a.told = max(0.0, filled - told), min(1.0, steps * TOP_STEP / max(1.0, told)), self.now
-        out = [math.floor(c.amount) for c in self.calls.get(mix(a.customer, h.epoch), ())]  # come after this
+        later = self.calls.get(stable_hash(a.customer, h.epoch), ())    # calls that come after this one
+        out = [math.floor(c.amount) for c in later]
         level = max(0.0, told - filled + sum(n for n in out if n < 0))
         top, used = h.top if self.classes > 1 else 1.0, max(a.here, told - filled + sum(out))
         slack, fresh = max(LOST_LEAST, LOST_PART * quota), total - call.amount < 0.5 / TOP_DIGITS
@@ -420,7 +413,8 @@
     def carry(self, h: Held, level: float) -> None:
         """What the old name held, or what we know to be there, whichever is more."""
         a = h.account
-        known, out = max(min(a.plan.quota, level), a.sure), self.calls.get(mix(a.customer, h.epoch), ())
+        known = max(min(a.plan.quota, level), a.sure)
+        out = self.calls.get(stable_hash(a.customer, h.epoch), ())
         lacking = math.floor(known - a.count + self.filled(a, h.epoch)) - sum(c.fix for c in out)
         lacking = max(lacking, -MOST_FIX) if known >= LOST_LEAST or lacking < 0 else 0
         if abs(lacking) >= LOST_LEAST and a.counted == h.epoch and self.add(h, lacking, lacking):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -13,11 +13,12 @@
 from loguru import logger
 
 from drumgw import interface as api
-from drumgw.control import COUNT_MS, Gatekeeper, mix
+from drumgw.control import COUNT_MS, Gatekeeper
+from drumgw.stable_hash import stable_hash
 
 logger.remove()     # the log is for on-call staff, not for those who read the tests
 TRACES = pathlib.Path(__file__).parent / "traces"
-START = 3 * COUNT_MS - mix(1) % int(COUNT_MS)    # the first customer's count has a new name then
+START = 3 * COUNT_MS - stable_hash(1) % int(COUNT_MS)    # the first customer's count has a new name then
 INQUIRY = api.Product(1.0, 2000.0, 8000.0, api.Repeat.INQUIRY, api.Group.ALL, 5000.0, 0.2)
 ONCE = api.Product(3.0, 800.0, 2500.0, api.Repeat.ONCE, api.Group.ALL, 5000.0, 0.2)
 BY_ZONE = api.Product(5.0, 2500.0, 8000.0, api.Repeat.REFERENCED, api.Group.ZONE, 3000.0, 0.0)
@@ -106,7 +107,7 @@
 
     def name(self) -> int:
         """The name of the first customer's count."""
-        return mix(1, int((self.now - START) // COUNT_MS) + 3)
+        return stable_hash(1, int((self.now - START) // COUNT_MS) + 3)
 
     def tick(self, ms: float = 100.0) -> None:
         for _ in range(round(ms / 100)):
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -8,11 +8,12 @@
 from typing import Any
 
 from drumgw import interface as api
-from drumgw.control import COUNT_MS, IDLE_MS, Call, Gatekeeper, mix
+from drumgw.control import COUNT_MS, IDLE_MS, Call, Gatekeeper
 from drumgw.interface import End
 from drumgw.lab.figures import sent_while_lost
 from drumgw.papers.bounds import bound, said
 from drumgw.papers.parts import Plan
+from drumgw.stable_hash import stable_hash
 from tests.labour import Passer, day, play
 from tests.stage import INQUIRY, ONCE, terms
 
@@ -254,7 +255,7 @@
         keeper = fleet.gates[0]
         account = keeper.accounts[1]
         epoch = int((fleet.now + account.phase) // COUNT_MS)
-        total = fleet.stores[0].get(mix(1, epoch), 0.0)
+        total = fleet.stores[0].get(stable_hash(1, epoch), 0.0)
         filled = (fleet.now + account.phase - epoch * COUNT_MS) * fleet.plan.units_per_s / 1000.0
         return total - filled, fleet.true_level()
 
