--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,4 +1,5 @@
 """The worker list: which word may be acted on, and when it is read. Discovery is the tests' own script."""
+
 from __future__ import annotations
 
 import asyncio
@@ -30,7 +31,7 @@
     """A discovery that has what its test says, from the first call on: news answer a watch at once."""
 
     async def agent(self, *rows: Any) -> StandIn:
-        self.now: Obj | None = {"generation": 7, "reset": True, "instances": list(rows)}   # none: silence
+        self.now: Obj | None = {"generation": 7, "reset": True, "instances": list(rows)}  # none: silence
         self.asked: list[str] = []
         self.news: asyncio.Condition = asyncio.Condition()
         self.discovery = await self.stand_in(self.answer)
@@ -82,6 +83,7 @@
         async def answer(head: bytes, body: bytes) -> bytes | None:
             await hold.wait()
             return await held(head, body)
+
         self.discovery.answer = answer
         gateway = await self.start(known)
         while not self.discovery.came:
@@ -89,7 +91,7 @@
         assert gateway.front.socket is not None
         self.assertEqual((gateway.front.ready, self.opening.done()), (False, False))
         self.assertEqual(gateway.workers.actors, {})
-        with self.assertRaises(ConnectionRefusedError):     # as while it was not running
+        with self.assertRaises(ConnectionRefusedError):  # as while it was not running
             await asyncio.open_connection(*gateway.front.socket.sockets[0].getsockname())
         hold.set()
         await self.opened()
@@ -102,16 +104,21 @@
         one, other, known = await self.workers()
         await self.agent()
         self.now = None
-        with mock.patch("drumgw.gate.roster.SILENT_START_MS", 0.0), \
-                mock.patch("drumgw.gate.roster.GRACE_PART", 0.003), \
-                mock.patch("drumgw.gate.roster.logger") as log:
+        with (
+            mock.patch("drumgw.gate.roster.SILENT_START_MS", 0.0),
+            mock.patch("drumgw.gate.roster.GRACE_PART", 0.003),
+            mock.patch("drumgw.gate.roster.logger") as log,
+        ):
             await self.start(known)
             await self.opened()
             self.assertIn("the known list stands in", str(log.warning.call_args_list))
             self.assertEqual(set(await self.ask_all()), {(200, b"one"), (200, b"other")})
             came = len(one.came)
-            self.now = {"generation": 3, "reset": True, "instances": [
-                {"instanceId": "s-0", "lifecycle": "draining"}, known[1]]}
+            self.now = {
+                "generation": 3,
+                "reset": True,
+                "instances": [{"instanceId": "s-0", "lifecycle": "draining"}, known[1]],
+            }
             await self.until("since=3&")
         self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
         self.assertEqual((len(one.came), self.asked[0]), (came, "/registry/instances"))
@@ -144,8 +151,13 @@
             json.dump(told(discovery.address, []), file)
             file.flush()
             run = await asyncio.create_subprocess_exec(
-                sys.executable, "-O", "-m", "drumgw", env={**os.environ, "GW_CONFIG": file.name},
-                stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-O",
+                "-m",
+                "drumgw",
+                env={**os.environ, "GW_CONFIG": file.name},
+                stderr=asyncio.subprocess.PIPE,
+            )
             while not discovery.came:
                 await asyncio.sleep(0.001)
             run.terminate()
@@ -157,13 +169,15 @@
     async def test_a_call_that_is_out_as_the_agent_comes_back_may_hear_nothing(self) -> None:
         """Guards the grace: the watch's own patience is far longer here, and it is never answered."""
         await self.agent(instance("s-0", "127.0.0.1:1"))
-        with mock.patch("drumgw.gate.roster.SLOW_MS", 1e9), \
-                mock.patch("drumgw.gate.roster.GRACE_PART", 0.003):
+        with (
+            mock.patch("drumgw.gate.roster.SLOW_MS", 1e9),
+            mock.patch("drumgw.gate.roster.GRACE_PART", 0.003),
+        ):
             await self.start([])
             await self.opened()
-            await self.until("since=7&")    # out for good: news do not wake it
+            await self.until("since=7&")  # out for good: news do not wake it
             self.now = {"generation": 8, "reset": False, "instances": [instance("s-0", "", "draining")]}
-            async with asyncio.timeout(20):     # only so that a broken scout fails and does not hang
+            async with asyncio.timeout(20):  # only so that a broken scout fails and does not hang
                 await self.until("since=8&")
         self.assertEqual(self.health(), {"s-0": "draining"})
 
@@ -187,14 +201,17 @@
     async def test_a_drain_that_lies_unread_goes_before_a_txn(self) -> None:
         """Guards drains behind a crowd or a stall of ours: the txn is read first, the list acted on first."""
         one, _, _ = await self.watched()
-        came = [n for n, answer in enumerate(await self.ask_all()) if answer == (200, b"one")]   # kept lines
+        came = [n for n, answer in enumerate(await self.ask_all()) if answer == (200, b"one")]  # kept lines
         read, one.came = self.gateway.front.read, []
 
         async def late(request: Any) -> bytes:
             self.write(instance("s-0", "", "draining"))
             return await read(request)
-        with mock.patch("drumgw.gate.roster.LOOK_MS", 0.0), \
-                mock.patch.object(self.gateway.front, "read", late):
+
+        with (
+            mock.patch("drumgw.gate.roster.LOOK_MS", 0.0),
+            mock.patch.object(self.gateway.front, "read", late),
+        ):
             self.assertEqual((await self.ask(f"/a?account={came[0]:016x}"))[:2], (200, b"other"))
         self.assertEqual((one.came, self.health()), ([], {"s-0": "draining", "s-1": "ready"}))
 
@@ -208,6 +225,7 @@
             if f":{card.url.port}" in one.address and not one.came:
                 self.write({"instanceId": "s-0", "lifecycle": "removed"})
             return connection
+
         with mock.patch("drumgw.gate.roster.LOOK_MS", 0.0), mock.patch.object(connector, "connect", up):
             self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
         self.assertEqual((one.came, self.health()), ([], {"s-1": "ready"}))
@@ -256,20 +274,32 @@
 
         async def sleep(seconds: float) -> None:
             slept.append(seconds)
+
         for task in gateway.roster.tasks:
             task.cancel()
-        with mock.patch.object(gateway.pulse, "now", lambda: 1e6), \
-                mock.patch.object(gateway.roster, "ask", mock.AsyncMock()), \
-                mock.patch("asyncio.sleep", sleep):
+        with (
+            mock.patch.object(gateway.pulse, "now", lambda: 1e6),
+            mock.patch.object(gateway.roster, "ask", mock.AsyncMock()),
+            mock.patch("asyncio.sleep", sleep),
+        ):
             await gateway.roster.call(1000.0, 2000.0, 50.0)
         self.assertEqual(slept, [0.05])
 
     async def test_what_is_no_list_leaves_the_last_and_is_one_line(self) -> None:
         up = instance("s-0", "127.0.0.1:1")
         await self.agent(up)
-        bad = [http(status=500), b"", b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n{", http(b"{]"),
-               http(b"7"), http(b"[]"), http(b'{"instances": {}}'), http(b'{"generation": 8}'),
-               http(b'{"generation": 8, "reset": true, "instances": [7, {}]}'), http(b"[" * 100000)]
+        bad = [
+            http(status=500),
+            b"",
+            b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n{",
+            http(b"{]"),
+            http(b"7"),
+            http(b"[]"),
+            http(b'{"instances": {}}'),
+            http(b'{"generation": 8}'),
+            http(b'{"generation": 8, "reset": true, "instances": [7, {}]}'),
+            http(b"[" * 100000),
+        ]
         held = self.answer
 
         async def answer(head: bytes, body: bytes) -> bytes | None:
@@ -279,6 +309,7 @@
             if b"since=" in head:
                 self.now = {"generation": 8, "reset": False, "instances": [instance("s-1", "127.0.0.1:1")]}
             return await held(head, body)
+
         self.discovery.answer = answer
         with mock.patch("drumgw.gate.roster.logger") as log, mock.patch("drumgw.gate.roster.AGAIN_MS", 0.0):
             gateway = await self.start([])
@@ -301,8 +332,14 @@
         drained = {"instanceId": "s-0", "lifecycle": "draining"}
         await self.agent()
         self.now = {"generation": 8, "reset": False, "instances": [drained]}
-        gateway = Gateway(charter({**told(self.discovery.address, known, settings=self.ASKED),
-                                   "known": {"generation": 5, "reset": True, "instances": known}}))
+        gateway = Gateway(
+            charter(
+                {
+                    **told(self.discovery.address, known, settings=self.ASKED),
+                    "known": {"generation": 5, "reset": True, "instances": known},
+                }
+            )
+        )
         self.gateway = gateway
         self.assertEqual((gateway.roster.muster.rows, gateway.workers.actors), ({}, {}))
         self.place = await gateway.open()
@@ -310,8 +347,10 @@
         info = "units=1,spread=1024,first=1023"
         self.assertEqual((await self.ask(Quota_Info=info))[:2], (200, b"other"))
         await self.until("since=8&")
-        self.assertEqual(self.asked, ["/registry/instances?since=5&timeout_ms=0",
-                                      "/registry/instances?since=8&timeout_ms=3500"])
+        self.assertEqual(
+            self.asked,
+            ["/registry/instances?since=5&timeout_ms=0", "/registry/instances?since=8&timeout_ms=3500"],
+        )
         self.assertEqual((one.came, self.health()), ([], {"s-0": "draining", "s-1": "ready"}))
 
     async def test_a_watch_goes_on_after_news(self) -> None:
@@ -325,9 +364,14 @@
             self.news.notify_all()
         await self.until("since=8&")
         self.assertEqual(self.health(), {"s-0": "draining", "s-1": "ready"})
-        self.assertEqual(self.asked, ["/registry/instances?since=1&timeout_ms=0",
-                                      "/registry/instances?since=7&timeout_ms=3500",
-                                      "/registry/instances?since=8&timeout_ms=3500"])
+        self.assertEqual(
+            self.asked,
+            [
+                "/registry/instances?since=1&timeout_ms=0",
+                "/registry/instances?since=7&timeout_ms=3500",
+                "/registry/instances?since=8&timeout_ms=3500",
+            ],
+        )
 
     async def pauses(self, seed: str, *outcomes: Outcome) -> list[float]:
         """Between calls that end so."""
@@ -337,8 +381,12 @@
 
         async def sleep(seconds: float) -> None:
             slept.append(seconds * 1000)
-        with mock.patch.object(roster, "call", mock.AsyncMock(side_effect=outcomes)), \
-                mock.patch("asyncio.sleep", sleep), self.assertRaises(StopAsyncIteration):
+
+        with (
+            mock.patch.object(roster, "call", mock.AsyncMock(side_effect=outcomes)),
+            mock.patch("asyncio.sleep", sleep),
+            self.assertRaises(StopAsyncIteration),
+        ):
             await roster.subscribe()
         return slept
 
@@ -361,7 +409,7 @@
             nonlocal waiting
             asked.append(head.split()[1].decode())
             if "since=2&" in asked[-1]:
-                return None     # a watch that goes on is free, and has no news
+                return None  # a watch that goes on is free, and has no news
             if waiting >= most:
                 return http(status=503)
             waiting += 1
@@ -369,13 +417,18 @@
                 await asyncio.sleep(took_s)
             waiting -= 1
             return listed(2, instance("s-0", "127.0.0.1:1"))
+
         service = await self.stand_in(serve)
-        fleet = [Gateway(charter(told(service.address, [], settings=self.ASKED, seed=f"{n + 1:x}")))
-                 for n in range(gateways)]
+        fleet = [
+            Gateway(charter(told(service.address, [], settings=self.ASKED, seed=f"{n + 1:x}")))
+            for n in range(gateways)
+        ]
         pauses = {outcome: (least / 8, most / 8) for outcome, (least, most) in PAUSES.items()}
         opening = [asyncio.create_task(gateway.open()) for gateway in fleet]
-        with mock.patch("drumgw.gate.gateway.LINGER_MS", 0.0), \
-                mock.patch.dict("drumgw.gate.roster.PAUSES", pauses):
+        with (
+            mock.patch("drumgw.gate.gateway.LINGER_MS", 0.0),
+            mock.patch.dict("drumgw.gate.roster.PAUSES", pauses),
+        ):
             for gateway, task in zip(fleet, opening, strict=True):
                 await task
                 self.assertTrue(gateway.roster.listed.is_set())
@@ -424,14 +477,14 @@
         self.take(41, self.row("s-a"), self.row("s-b"), self.row("s-c"), whole=True)
         self.take(43, self.row("s-a", "draining"), self.row("s-b", "removed"))
         self.take(42, self.row("s-a"), self.row("s-b"), self.row("s-c", "draining"), whole=True)
-        self.take(42, self.row("s-a", born=9.0), self.row("s-d"))   # a later start; one that may have left
-        self.take(43)                                               # in step again: all is asked for
+        self.take(42, self.row("s-a", born=9.0), self.row("s-d"))  # a later start; one that may have left
+        self.take(43)  # in step again: all is asked for
         self.take(43, self.row("s-a", born=9.0), self.row("s-c"), whole=True)
         self.same("muster-older")
 
     def test_a_numbering_begun_anew_is_taken_in_time(self) -> None:
         self.take(41, self.row("s-a"), self.row("s-b"), whole=True)
-        self.take(3)                                                    # its version says nothing of its list
+        self.take(3)  # its version says nothing of its list
         self.take(3, self.row("s-b"), self.row("s-c"), whole=True)
         self.take(4, self.row("s-b", "draining"), after_ms=RENUMBERED_MS / 2)
         self.take(5, after_ms=RENUMBERED_MS / 2)
@@ -442,39 +495,53 @@
     def test_known_stands_in_only_until_the_agent_speaks(self) -> None:
         known = {"generation": 50, "instances": [self.row("s-a"), self.row("s-b")]}
         self.note("known", self.muster.stand_in(known))
-        self.take(41, self.row("s-b", "draining"), self.row("s-c"))     # older, and not said to be whole
+        self.take(41, self.row("s-b", "draining"), self.row("s-c"))  # older, and not said to be whole
         self.same("muster-known")
 
     def test_a_row_that_lacks_or_spoils_fields_hides_no_drain(self) -> None:
         self.take(1, *(self.row(f"s-{n}") for n in "abcdefg"), whole=True)
-        self.take(2, {"instanceId": "s-a", "lifecycle": "draining"},
-                  {"instanceId": "s-b", "lifecycle": "removed"},
-                  instance("s-c", "nowhere", "draining", startedAtMs="?", zone=[], weight=None, cell={}))
+        self.take(
+            2,
+            {"instanceId": "s-a", "lifecycle": "draining"},
+            {"instanceId": "s-b", "lifecycle": "removed"},
+            instance("s-c", "nowhere", "draining", startedAtMs="?", zone=[], weight=None, cell={}),
+        )
         bad: list[Any] = [
-            {"instanceId": "s-d"}, {**ROW, "instanceId": "s-e", "weight": float("nan")},
+            {"instanceId": "s-d"},
+            {**ROW, "instanceId": "s-e", "weight": float("nan")},
             {**ROW, "instanceId": "s-f", "lifecycle": ["up"]},
             {**ROW, "instanceId": "s-g", "cell": float("inf")},
             {**ROW, "instanceId": "s-h", "hostPort": "a b"},
-            {**ROW, "instanceId": "s-i", "hostPort": "h:70000"}, {**ROW, "instanceId": 5},
-            {**ROW, "instanceId": ""}, {**ROW, "instanceId": "s" * 257},
-            {**ROW, "instanceId": "s-j", "startedAtMs": True}, {**ROW, "instanceId": "s-k", "zone": {}}]
-        self.take(3, *bad, None, "s-d", ROW, whole=True)    # who is named stays what it was, others are gone
+            {**ROW, "instanceId": "s-i", "hostPort": "h:70000"},
+            {**ROW, "instanceId": 5},
+            {**ROW, "instanceId": ""},
+            {**ROW, "instanceId": "s" * 257},
+            {**ROW, "instanceId": "s-j", "startedAtMs": True},
+            {**ROW, "instanceId": "s-k", "zone": {}},
+        ]
+        self.take(3, *bad, None, "s-d", ROW, whole=True)  # who is named stays what it was, others are gone
         self.same("muster-rows")
 
     def test_two_rows_of_a_worker_in_one_list(self) -> None:
         self.take(1, self.row("s-a"), self.row("s-b"), self.row("s-c"), self.row("s-d"), whole=True)
-        self.take(2, self.row("s-a", "removed"), self.row("s-a", born=5.0),         # replaced in one step
-                  self.row("s-b", born=5.0), self.row("s-b", "removed"),
-                  self.row("s-c"), self.row("s-c", "draining"),     # leaving goes before staying
-                  self.row("s-d", born=5.0), {"instanceId": "s-d", "lifecycle": "draining"})
-        self.take(3, self.row("s-c"))       # a newer list may call a drain off
+        self.take(
+            2,
+            self.row("s-a", "removed"),
+            self.row("s-a", born=5.0),  # replaced in one step
+            self.row("s-b", born=5.0),
+            self.row("s-b", "removed"),
+            self.row("s-c"),
+            self.row("s-c", "draining"),  # leaving goes before staying
+            self.row("s-d", born=5.0),
+            {"instanceId": "s-d", "lifecycle": "draining"},
+        )
+        self.take(3, self.row("s-c"))  # a newer list may call a drain off
         self.same("muster-twice")
 
     def test_a_generation_that_cannot_be_used(self) -> None:
         self.take(1, self.row("s-a"), whole=True)
         for generation in (None, "2", True, -3, 2.5):
             self.take(generation, self.row("s-a", "draining"))
-        self.take(2, "no row", {}, whole=True)      # no list
+        self.take(2, "no row", {}, whole=True)  # no list
         self.same("muster-generations")
         self.assertEqual(self.muster.rows["s-a"].entry.health, Health.DRAINING)
-
