--- a/drumgw/gate/roster.py
+++ b/drumgw/gate/discovery.py
@@ -1,4 +1,4 @@
-"""The worker list's actor: watches discovery's agent without a gap and acts on what muster makes of it."""
+"""The actor that asks discovery for the worker list, and acts on what the membership rule makes of it."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from drumgw.gate.charter import BadCharter, Charter
 from drumgw.gate.desk import Desk
 from drumgw.gate.line import Answer, Lines, Trip
-from drumgw.gate.muster import SILENT_START_MS, UNREADABLE, Change, Muster, worker_id
+from drumgw.gate.membership import SILENT_START_MS, UNREADABLE, Change, Membership, worker_id
 from drumgw.gate.workers import Workers
 from drumgw.interface import Health
 
@@ -54,12 +54,12 @@
 PAUSES = {Outcome.TURNED_AWAY: (BACK_OFF_MS, BACK_OFF_MOST_MS), Outcome.FAILED: (RETRY_MS, RETRY_MOST_MS)}
 
 
-class Roster:
+class Discovery:
     def __init__(self, charter: Charter, desk: Desk, workers: Workers) -> None:
         self.charter, self.desk, self.workers, self.pulse = charter, desk, workers, desk.pulse
-        self.muster = Muster(charter.names)
+        self.membership = Membership(charter.names)
         try:
-            Muster(charter.names).stand_in(charter.known)
+            Membership(charter.names).stand_in(charter.known)
         except UNREADABLE as bad:
             raise BadCharter(f"known cannot be read: {bad!r}") from bad
         self.lines = Lines(LINES, IDLE_MS, CONNECT_MS, desk.pulse, MOST_LIST)
@@ -77,7 +77,7 @@
         self.heard_at = self.looked_at = self.scout_at = self.pulse.now()
         self.chance = random.Random(charter.seed)  # spreads what all gateways do after the same failure
         if charter.shared_discovery:
-            self.muster.build_on(charter.known)
+            self.membership.build_on(charter.known)
         self.move(charter.discovery)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -119,7 +119,7 @@
                 self.desk.said,
                 SILENT_START_MS / 1000,
             )
-            self.act(self.muster.stand_in(self.charter.known), "list known")
+            self.act(self.membership.stand_in(self.charter.known), "list known")
             self.listed.set()
 
     async def close(self) -> None:
@@ -181,7 +181,7 @@
         async with asyncio.timeout(patience_ms / 1000):
             connection, wire = await self.lines.connect(self.card)
         trip.connection = connection
-        since, task = self.muster.since, asyncio.current_task()
+        since, task = self.membership.since, asyncio.current_task()
         wire.heard = partial(self.told, over, task, self.round, since is None, self.pulse.now())
         wire.lost = partial(fail, over)
         try:
@@ -227,7 +227,7 @@
             if message.code != 200:
                 kind = TurnedAway if message.code in TOO_MANY else ValueError
                 raise kind(f"discovery answers {message.code}")
-            change = self.muster.take(now, json.loads(body), plain)
+            change = self.membership.take(now, json.loads(body), plain)
         except Exception as error:  # no list that can be read: the last one stands
             fail(over, error)
             return
@@ -235,7 +235,7 @@
         self.drop_calls(call)
         self.act(
             change,
-            f"list {self.muster.newest}, asked {now - asked_at:.0f} ms ago, "
+            f"list {self.membership.newest}, asked {now - asked_at:.0f} ms ago, "
             f"nothing heard for {silent_ms:.0f} ms before",
         )
         self.hear(None)
@@ -267,8 +267,8 @@
                 self.desk.said,
                 change.unread,
             )
-        if self.muster.behind is not self.behind:
-            self.behind = self.muster.behind
+        if self.membership.behind is not self.behind:
+            self.behind = self.membership.behind
             mode = "older than what is known: only who leaves is heeded" if self.behind else "in step again"
             logger.warning("{}the agent's list is {}", self.desk.said, mode)
 
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -14,7 +14,7 @@
 from drumgw.gate.clock import Clock, Pulse
 from drumgw.gate.front import Front
 from drumgw.gate.invariant import broken
-from drumgw.gate.muster import READY_MS
+from drumgw.gate.membership import READY_MS
 from drumgw.gate.station import Station
 
 LINGER_MS = 700.0  # after SIGTERM clients still come for so long (the protocol's figure)
@@ -26,27 +26,27 @@
         self.charter = charter
         self.pulse = Pulse(Clock(), asyncio.get_running_loop())
         self.station = station = Station(charter, self.pulse)
-        self.desk, self.workers, self.counter, self.roster = (
+        self.desk, self.workers, self.counter, self.discovery = (
             station.desk,
             station.workers,
             station.counter,
-            station.roster,
+            station.discovery,
         )
         self.front = Front(charter, self.desk)
         self.term = asyncio.Event()
 
     async def open(self) -> tuple[str, int]:
-        """Nobody is let in before the agent has spoken, or was silent for READY_MS (gate/muster.py)."""
+        """Nobody is let in before the agent has spoken, or was silent for READY_MS (gate/membership.py)."""
         self.pulse.beat()
         self.station.start()
         await self.front.bind()
-        await self.roster.begin(READY_MS)
+        await self.discovery.begin(READY_MS)
         place = await self.front.open()
         logger.info(
             "{} serves at {}:{}: {} workers listed, at most {} clients and {} lines to workers",
             self.charter.name,
             *place,
-            len(self.roster.muster.rows),
+            len(self.discovery.membership.rows),
             self.charter.clients,
             self.charter.lines,
         )
--- a/drumgw/gate/muster.py
+++ b/drumgw/gate/membership.py
@@ -10,7 +10,7 @@
 3. A row says that a worker leaves by its id and lifecycle alone. One that can't be read changes nothing,
    so the last that could stands; a list of none but such rows is no list.
 4. In silence the last list stands. After SIGHUP all this goes on with the new agent.
-5. Nothing is sent while a word of the agent's has lain unread for LOOK_MS (gate/roster.py).
+5. Nothing is sent while a word of the agent's has lain unread for LOOK_MS (gate/discovery.py).
 """
 
 from __future__ import annotations
@@ -63,7 +63,7 @@
 Read = dict[str, "Row | None"]
 
 
-class Muster:
+class Membership:
     def __init__(self, names: Names) -> None:
         self.names, self.state = names, WAITING
         self.since: int | None = None  # what the next call asks from; none: for the whole list
@@ -245,12 +245,12 @@
     return row.born, row.entry.health is not Health.READY
 
 
-TABLE: dict[tuple[str, str], tuple[str, Callable[[Muster, Read, bool], Change]]] = {
-    (WAITING, "newer"): (IN_STEP, Muster.adopt),
-    (IN_STEP, "newer"): (IN_STEP, Muster.adopt),
-    (IN_STEP, "older"): (BEHIND, Muster.heed),
-    (BEHIND, "older"): (BEHIND, Muster.heed),
-    (BEHIND, "changes"): (BEHIND, Muster.heed),  # in step again; its whole list is asked for next
-    (BEHIND, "newer"): (IN_STEP, Muster.adopt),
-    (BEHIND, "renumbered"): (IN_STEP, Muster.adopt),
+TABLE: dict[tuple[str, str], tuple[str, Callable[[Membership, Read, bool], Change]]] = {
+    (WAITING, "newer"): (IN_STEP, Membership.adopt),
+    (IN_STEP, "newer"): (IN_STEP, Membership.adopt),
+    (IN_STEP, "older"): (BEHIND, Membership.heed),
+    (BEHIND, "older"): (BEHIND, Membership.heed),
+    (BEHIND, "changes"): (BEHIND, Membership.heed),  # in step again; its whole list is asked for next
+    (BEHIND, "newer"): (IN_STEP, Membership.adopt),
+    (BEHIND, "renumbered"): (IN_STEP, Membership.adopt),
 }
--- a/drumgw/gate/station.py
+++ b/drumgw/gate/station.py
@@ -11,7 +11,7 @@
 from drumgw.gate.core import Core
 from drumgw.gate.counter import Counter
 from drumgw.gate.desk import Desk
-from drumgw.gate.roster import Roster
+from drumgw.gate.discovery import Discovery
 from drumgw.gate.workers import Workers
 
 
@@ -22,9 +22,9 @@
         self.desk = Desk(core, pulse, 4 * charter.lines, charter.said)
         self.workers = Workers(charter, self.desk)
         self.counter = Counter(charter, self.desk) if charter.counter else None
-        self.roster = Roster(charter, self.desk, self.workers)
+        self.discovery = Discovery(charter, self.desk, self.workers)
         self.desk.workers, self.desk.counter = self.workers, self.counter
-        self.workers.heed(self.roster.look)
+        self.workers.heed(self.discovery.look)
 
     def start(self) -> None:
         """Before anything else of it; it knows no worker yet."""
@@ -32,7 +32,7 @@
 
     def move(self, told: Charter) -> None:
         """Discovery and the counter are asked there; the list, the books and all in hand stay as they are."""
-        self.roster.move(told.discovery)
+        self.discovery.move(told.discovery)
         if self.counter is not None and told.counter is not None:
             self.counter.move(told.counter)
 
@@ -47,6 +47,6 @@
 
     async def shut(self) -> None:
         self.desk.close()
-        for part in (self.workers, self.counter, self.roster):
+        for part in (self.workers, self.counter, self.discovery):
             if part is not None:
                 await part.close()
--- a/drumgw/host/hosting.py
+++ b/drumgw/host/hosting.py
@@ -12,7 +12,7 @@
 
 from drumgw.gate.charter import BadCharter
 from drumgw.gate.clock import Pulse
-from drumgw.gate.muster import SILENT_START_MS
+from drumgw.gate.membership import SILENT_START_MS
 from drumgw.gate.station import Station
 from drumgw.host.registry import ACTIVE, DRAINING, Change, Obj, Registry, Tenant
 from drumgw.host.shares import Shares, Turns
@@ -128,14 +128,16 @@
         """Nobody is let in there before its own discovery has spoken: one that takes another's place would
         refuse what that one still serves."""
         seat.station.start()
-        await seat.station.roster.begin(SILENT_START_MS)
+        await seat.station.discovery.begin(SILENT_START_MS)
         seat.ready = True
         if self.coming.get(seat.name) is seat:
             old = self.seats[seat.name]
             del self.coming[seat.name]
             self.seats[seat.name] = seat
             self.retire(old)
-        logger.info("tenant {}: serves, {} workers listed", seat.name, len(seat.station.roster.muster.rows))
+        logger.info(
+            "tenant {}: serves, {} workers listed", seat.name, len(seat.station.discovery.membership.rows)
+        )
 
     def renew(self, tenant: Tenant) -> None:
         """A station goes on where it can; else a new one takes its place once it knows its workers."""
@@ -233,7 +235,7 @@
             "taken": seat.taken,
             "turned_away": seat.turned_away,
             "share": {"own": part.own, "most": self.shares.holds_most(seat.key), "refused": part.refused},
-            "workers": Counter(row.entry.health.value for row in station.roster.muster.rows.values()),
+            "workers": Counter(row.entry.health.value for row in station.discovery.membership.rows.values()),
             "lines": len(station.workers.lines.wires),
-            "discovery_heard": station.roster.heard,
+            "discovery_heard": station.discovery.heard,
         }
--- a/drumgw/lab/virtual.py
+++ b/drumgw/lab/virtual.py
@@ -14,9 +14,9 @@
 from drumgw.control import Gatekeeper
 from drumgw.gate.clock import LATE_MS
 from drumgw.gate.core import Alarm, Core, Effect, Fault, Keeper, Reply, Send, Stop
+from drumgw.gate.discovery import PACE_MOST_MS
 from drumgw.gate.gateway import LINGER_MS
-from drumgw.gate.muster import STATES, worker_id
-from drumgw.gate.roster import PACE_MOST_MS
+from drumgw.gate.membership import STATES, worker_id
 from drumgw.interface import End, Health
 from drumgw.lab.clients import TERM_SEEN_MS, Try
 from drumgw.lab.clocks import Handle, VirtualClock
--- a/tests/test_roster.py
+++ b/tests/test_discovery.py
@@ -13,9 +13,9 @@
 from unittest import mock
 
 from drumgw.gate.charter import MOST_BODY
+from drumgw.gate.discovery import PAUSES, Outcome
 from drumgw.gate.gateway import Gateway
-from drumgw.gate.muster import RENUMBERED_MS, UNREADABLE, Change, Muster
-from drumgw.gate.roster import PAUSES, Outcome
+from drumgw.gate.membership import RENUMBERED_MS, UNREADABLE, Change, Membership
 from drumgw.interface import Health
 from tests.stage import TRACES, StandIn, http
 from tests.test_gate import POSTED, GateCase, charter, instance, settings, told
@@ -61,7 +61,7 @@
             await asyncio.sleep(0.001)
 
     def health(self) -> dict[str, str]:
-        return {name: row.entry.health.value for name, row in self.gateway.roster.muster.rows.items()}
+        return {name: row.entry.health.value for name, row in self.gateway.discovery.membership.rows.items()}
 
     async def workers(self) -> tuple[StandIn, StandIn, list[Obj]]:
         one, other = await self.stand_in(http(b"one")), await self.stand_in(http(b"other"))
@@ -105,9 +105,9 @@
         await self.agent()
         self.now = None
         with (
-            mock.patch("drumgw.gate.roster.SILENT_START_MS", 0.0),
-            mock.patch("drumgw.gate.roster.GRACE_PART", 0.003),
-            mock.patch("drumgw.gate.roster.logger") as log,
+            mock.patch("drumgw.gate.discovery.SILENT_START_MS", 0.0),
+            mock.patch("drumgw.gate.discovery.GRACE_PART", 0.003),
+            mock.patch("drumgw.gate.discovery.logger") as log,
         ):
             await self.start(known)
             await self.opened()
@@ -139,7 +139,7 @@
             self.assertEqual(status, 503)
             self.assertRegex(head, rb"Retry-After: 0\.[1-9]")
         self.assertEqual((one.lines, other.lines, counter.lines), ([], [], []))
-        self.assertFalse(gateway.roster.listed.is_set())
+        self.assertFalse(gateway.discovery.listed.is_set())
         self.now = held
         await self.until("since=7&")
         self.assertEqual(set(await self.ask_all()), {(200, b"other")})
@@ -170,8 +170,8 @@
         """Guards the grace: the watch's own patience is far longer here, and it is never answered."""
         await self.agent(instance("s-0", "127.0.0.1:1"))
         with (
-            mock.patch("drumgw.gate.roster.SLOW_MS", 1e9),
-            mock.patch("drumgw.gate.roster.GRACE_PART", 0.003),
+            mock.patch("drumgw.gate.discovery.SLOW_MS", 1e9),
+            mock.patch("drumgw.gate.discovery.GRACE_PART", 0.003),
         ):
             await self.start([])
             await self.opened()
@@ -190,7 +190,7 @@
         one, other, rows = await self.workers()
         await self.agent(*rows)
         for name in ("PACE_MOST_MS", "GRACE_PART", "SLOW_MS"):
-            patch = mock.patch(f"drumgw.gate.roster.{name}", 1e9)
+            patch = mock.patch(f"drumgw.gate.discovery.{name}", 1e9)
             patch.start()
             self.addCleanup(patch.stop)
         await self.start([])
@@ -209,7 +209,7 @@
             return await read(request)
 
         with (
-            mock.patch("drumgw.gate.roster.LOOK_MS", 0.0),
+            mock.patch("drumgw.gate.discovery.LOOK_MS", 0.0),
             mock.patch.object(self.gateway.front, "read", late),
         ):
             self.assertEqual((await self.ask(f"/a?account={came[0]:016x}"))[:2], (200, b"other"))
@@ -226,7 +226,7 @@
                 self.write({"instanceId": "s-0", "lifecycle": "removed"})
             return connection
 
-        with mock.patch("drumgw.gate.roster.LOOK_MS", 0.0), mock.patch.object(connector, "connect", up):
+        with mock.patch("drumgw.gate.discovery.LOOK_MS", 0.0), mock.patch.object(connector, "connect", up):
             self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
         self.assertEqual((one.came, self.health()), ([], {"s-1": "ready"}))
 
@@ -242,9 +242,9 @@
         one.came, self.now = [], None
         moved = await self.stand_in(listed(3, rows[1]))
         gateway.station.move(charter(told(moved.address, [])))
-        while "s-0" in gateway.roster.muster.rows:
+        while "s-0" in gateway.discovery.membership.rows:
             await asyncio.sleep(0.001)
-        self.assertLess(gateway.pulse.now() - gateway.roster.muster.older_at, RENUMBERED_MS)
+        self.assertLess(gateway.pulse.now() - gateway.discovery.membership.older_at, RENUMBERED_MS)
         self.assertEqual(await self.ask_all(), [(200, b"other")] * 16)
         self.assertEqual((one.came, self.health()), ([], {"s-1": "ready"}))
 
@@ -275,14 +275,14 @@
         async def sleep(seconds: float) -> None:
             slept.append(seconds)
 
-        for task in gateway.roster.tasks:
+        for task in gateway.discovery.tasks:
             task.cancel()
         with (
             mock.patch.object(gateway.pulse, "now", lambda: 1e6),
-            mock.patch.object(gateway.roster, "ask", mock.AsyncMock()),
+            mock.patch.object(gateway.discovery, "ask", mock.AsyncMock()),
             mock.patch("asyncio.sleep", sleep),
         ):
-            await gateway.roster.call(1000.0, 2000.0, 50.0)
+            await gateway.discovery.call(1000.0, 2000.0, 50.0)
         self.assertEqual(slept, [0.05])
 
     async def test_what_is_no_list_leaves_the_last_and_is_one_line(self) -> None:
@@ -311,7 +311,10 @@
             return await held(head, body)
 
         self.discovery.answer = answer
-        with mock.patch("drumgw.gate.roster.logger") as log, mock.patch("drumgw.gate.roster.AGAIN_MS", 0.0):
+        with (
+            mock.patch("drumgw.gate.discovery.logger") as log,
+            mock.patch("drumgw.gate.discovery.AGAIN_MS", 0.0),
+        ):
             gateway = await self.start([])
             await self.opened()
             await self.until("since=8&")
@@ -341,7 +344,7 @@
             )
         )
         self.gateway = gateway
-        self.assertEqual((gateway.roster.muster.rows, gateway.workers.actors), ({}, {}))
+        self.assertEqual((gateway.discovery.membership.rows, gateway.workers.actors), ({}, {}))
         self.place = await gateway.open()
         self.addAsyncCleanup(self.end)
         info = "units=1,spread=1024,first=1023"
@@ -376,18 +379,20 @@
     async def pauses(self, seed: str, *outcomes: Outcome) -> list[float]:
         """Between calls that end so."""
         await self.agent()
-        roster = Gateway(charter(told(self.discovery.address, [], settings=self.ASKED, seed=seed))).roster
+        discovery = Gateway(
+            charter(told(self.discovery.address, [], settings=self.ASKED, seed=seed))
+        ).discovery
         slept = list[float]()
 
         async def sleep(seconds: float) -> None:
             slept.append(seconds * 1000)
 
         with (
-            mock.patch.object(roster, "call", mock.AsyncMock(side_effect=outcomes)),
+            mock.patch.object(discovery, "call", mock.AsyncMock(side_effect=outcomes)),
             mock.patch("asyncio.sleep", sleep),
             self.assertRaises(StopAsyncIteration),
         ):
-            await roster.subscribe()
+            await discovery.subscribe()
         return slept
 
     async def test_who_is_turned_away_waits_longer_each_time_and_not_as_others_do(self) -> None:
@@ -427,11 +432,11 @@
         opening = [asyncio.create_task(gateway.open()) for gateway in fleet]
         with (
             mock.patch("drumgw.gate.gateway.LINGER_MS", 0.0),
-            mock.patch.dict("drumgw.gate.roster.PAUSES", pauses),
+            mock.patch.dict("drumgw.gate.discovery.PAUSES", pauses),
         ):
             for gateway, task in zip(fleet, opening, strict=True):
                 await task
-                self.assertTrue(gateway.roster.listed.is_set())
+                self.assertTrue(gateway.discovery.listed.is_set())
             for gateway in fleet:
                 await gateway.close()
         self.assertLess(sum("since=2&" not in target for target in asked), 6 * gateways)
@@ -444,15 +449,19 @@
     """The rule itself, as a trace of lists and what each of them changes."""
 
     def setUp(self) -> None:
-        self.muster, self.now, self.trace = Muster(charter(told("127.0.0.1:1", [])).names), 0.0, list[str]()
+        self.membership, self.now, self.trace = (
+            Membership(charter(told("127.0.0.1:1", [])).names),
+            0.0,
+            list[str](),
+        )
 
     def take(self, generation: Any, *rows: Any, whole: bool = False, after_ms: float = 100.0) -> None:
         self.now += after_ms
-        plain = self.muster.since is None
+        plain = self.membership.since is None
         said = {"generation": generation, "reset": whole, "instances": list(rows)}
-        asked = "all" if plain else f"since {self.muster.since}"
+        asked = "all" if plain else f"since {self.membership.since}"
         try:
-            change = self.muster.take(self.now, said, plain)
+            change = self.membership.take(self.now, said, plain)
         except UNREADABLE as bad:
             self.trace.append(f"{self.now:6.0f}  asked {asked}, list {generation}: {type(bad).__name__}")
             return
@@ -460,10 +469,10 @@
 
     def note(self, what: str, change: Change) -> None:
         moves = "; ".join(f"{health.value}: {', '.join(names)}" for health, names in change.told.items())
-        rows = ", ".join(f"{name} {row.entry.health.value}" for name, row in self.muster.rows.items())
+        rows = ", ".join(f"{name} {row.entry.health.value}" for name, row in self.membership.rows.items())
         unread = f", {change.unread} unread" if change.unread else ""
         self.trace.append(f"{self.now:6.0f}  {what}{unread} -> {moves or 'nothing'}")
-        self.trace.append(f"        {self.muster.state}: {rows}")
+        self.trace.append(f"        {self.membership.state}: {rows}")
 
     def same(self, name: str) -> None:
         kept = (TRACES / f"{name}.txt").read_text().splitlines()
@@ -480,7 +489,7 @@
         self.take(42, self.row("s-a", born=9.0), self.row("s-d"))  # a later start; one that may have left
         self.take(43)  # in step again: all is asked for
         self.take(43, self.row("s-a", born=9.0), self.row("s-c"), whole=True)
-        self.same("muster-older")
+        self.same("membership-older")
 
     def test_a_numbering_begun_anew_is_taken_in_time(self) -> None:
         self.take(41, self.row("s-a"), self.row("s-b"), whole=True)
@@ -490,13 +499,13 @@
         self.take(5, after_ms=RENUMBERED_MS / 2)
         self.take(5, self.row("s-b", "draining"), self.row("s-c"), whole=True)
         self.take(6, self.row("s-c", "draining"))
-        self.same("muster-renumbered")
+        self.same("membership-renumbered")
 
     def test_known_stands_in_only_until_the_agent_speaks(self) -> None:
         known = {"generation": 50, "instances": [self.row("s-a"), self.row("s-b")]}
-        self.note("known", self.muster.stand_in(known))
+        self.note("known", self.membership.stand_in(known))
         self.take(41, self.row("s-b", "draining"), self.row("s-c"))  # older, and not said to be whole
-        self.same("muster-known")
+        self.same("membership-known")
 
     def test_a_row_that_lacks_or_spoils_fields_hides_no_drain(self) -> None:
         self.take(1, *(self.row(f"s-{n}") for n in "abcdefg"), whole=True)
@@ -520,7 +529,7 @@
             {**ROW, "instanceId": "s-k", "zone": {}},
         ]
         self.take(3, *bad, None, "s-d", ROW, whole=True)  # who is named stays what it was, others are gone
-        self.same("muster-rows")
+        self.same("membership-rows")
 
     def test_two_rows_of_a_worker_in_one_list(self) -> None:
         self.take(1, self.row("s-a"), self.row("s-b"), self.row("s-c"), self.row("s-d"), whole=True)
@@ -536,12 +545,12 @@
             {"instanceId": "s-d", "lifecycle": "draining"},
         )
         self.take(3, self.row("s-c"))  # a newer list may call a drain off
-        self.same("muster-twice")
+        self.same("membership-twice")
 
     def test_a_generation_that_cannot_be_used(self) -> None:
         self.take(1, self.row("s-a"), whole=True)
         for generation in (None, "2", True, -3, 2.5):
             self.take(generation, self.row("s-a", "draining"))
         self.take(2, "no row", {}, whole=True)  # no list
-        self.same("muster-generations")
-        self.assertEqual(self.muster.rows["s-a"].entry.health, Health.DRAINING)
+        self.same("membership-generations")
+        self.assertEqual(self.membership.rows["s-a"].entry.health, Health.DRAINING)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -601,7 +601,7 @@
             return http(json.dumps(await news.get()).encode())
 
         gateway = await self.begin("127.0.0.1:1", "127.0.0.1:2", watch=watch)
-        listed = gateway.roster.muster.rows
+        listed = gateway.discovery.membership.rows
 
         def states() -> dict[str, api.Health]:
             return {name: row.entry.health for name, row in listed.items()}
@@ -639,12 +639,12 @@
         with mock.patch("drumgw.gate.gateway.logger") as log:
             self.reload(discovery="nowhere")
             self.assertIn("old configuration stands", log.warning.call_args[0][0])
-        self.assertEqual((len(new.came), list(gateway.roster.muster.rows)), (0, ["s-0"]))
+        self.assertEqual((len(new.came), list(gateway.discovery.membership.rows)), (0, ["s-0"]))
         self.reload(discovery=new.address)
         while len(new.came) < 2:
             await asyncio.sleep(0.001)
         self.assertIn(b"?since=1&", new.came[0][0])
-        self.assertEqual(list(gateway.roster.muster.rows), ["s-0", "s-1"])
+        self.assertEqual(list(gateway.discovery.membership.rows), ["s-0", "s-1"])
 
     async def test_a_list_that_cannot_be_read_leaves_the_last(self) -> None:
         answers = [
@@ -657,8 +657,8 @@
             ),
         ]
         gateway = await self.begin("127.0.0.1:1", watch=lambda *came: answers.pop(0) if answers else None)
-        self.assertEqual(list(gateway.roster.muster.rows), ["s-0"])
-        while "s-9" not in gateway.roster.muster.rows:
+        self.assertEqual(list(gateway.discovery.membership.rows), ["s-0"])
+        while "s-9" not in gateway.discovery.membership.rows:
             await asyncio.sleep(0.001)
 
     async def test_a_drain_stops_what_was_not_written_yet(self) -> None:
