A tenant's station waits for its list: a start of a host said twice what it does at 20 s

Found on rereading: both the wait and the known list came due at 20 s, the wait first, so a host logged that all is refused and took the station for ready a moment before its list stood in. It waits without a limit now; the known list ends the wait as before. A single gateway is as it was.

--- a/drumgw/gate/discovery.py
+++ b/drumgw/gate/discovery.py
@@ -94,20 +94,20 @@
             if call is not answered:
                 call.cancel()
 
-    async def begin(self, patience_ms: float) -> None:
-        """Returns once there is a list, and after the patience without one: no worker is known then, so the
-        module refuses all that comes, at once and with a time to come back."""
+    async def begin(self, patience_s: float | None) -> None:
+        """Returns once there is a list, and after the patience, if any, without one: no worker is known then,
+        so the module refuses all that comes, at once and with a time to come back."""
         self.heard_at, self.scout_at = self.pulse.now(), self.pulse.now() + self.pace_ms
         asking = (self.subscribe,) if self.charter.shared_discovery else (self.watch, self.scout)
         self.tasks = [asyncio.create_task(task()) for task in (*asking, self.stand_in)]
         try:
-            async with asyncio.timeout(patience_ms / 1000):
+            async with asyncio.timeout(patience_s):
                 await self.listed.wait()
         except TimeoutError:
             logger.warning(
                 "{}discovery was silent for {:.0f} s from the start: {}",
                 self.desk.said,
-                patience_ms / 1000,
+                patience_s,
                 "all is refused until it speaks",
             )
 
--- a/drumgw/gate/gateway.py
+++ b/drumgw/gate/gateway.py
@@ -40,7 +40,7 @@
         self.pulse.beat()
         self.station.start()
         await self.front.bind()
-        await self.discovery.begin(READY_MS)
+        await self.discovery.begin(READY_MS / 1000)
         place = await self.front.open()
         logger.info(
             "{} serves at {}:{}: {} workers listed, at most {} clients and {} lines to workers",
--- a/drumgw/host/hosting.py
+++ b/drumgw/host/hosting.py
@@ -12,7 +12,6 @@
 
 from drumgw.gate.charter import BadCharter
 from drumgw.gate.clock import Pulse
-from drumgw.gate.membership import SILENT_START_MS
 from drumgw.gate.station import Station
 from drumgw.host.registry import ACTIVE, DRAINING, Change, Obj, Registry, Tenant
 from drumgw.host.shares import Shares, Turns
@@ -128,7 +127,7 @@
         """Nobody is let in there before its own discovery has spoken: one that takes another's place would
         refuse what that one still serves."""
         seat.station.start()
-        await seat.station.discovery.begin(SILENT_START_MS)
+        await seat.station.discovery.begin(None)
         seat.ready = True
         if self.coming.get(seat.name) is seat:
             old = self.seats[seat.name]
