--- a/drumgw/gate/membership.py
+++ b/drumgw/gate/membership.py
@@ -75,8 +75,7 @@
     def build_on(self, known: dict[str, Any]) -> None:
         """Asks first for what changed since the known list, which costs a shared service less than a whole
         one. Nothing is sent by it before that is answered."""
-        generation = known.get("generation")
-        if isinstance(generation, int) and not isinstance(generation, bool) and generation >= 0:
+        if (generation := generation_of(known)) is not None:
             self.base, self.since = self.read(rows_of(known)), generation
 
     def stand_in(self, known: dict[str, Any]) -> Change:
@@ -85,9 +84,7 @@
 
     def take(self, now: float, told: Any, plain: bool) -> Change:
         """A list of the agent's; plain: the whole one was asked for. Raises what UNREADABLE names."""
-        rows, generation = rows_of(told), told.get("generation")
-        if isinstance(generation, bool) or not isinstance(generation, int) or generation < 0:
-            generation = None
+        rows, generation = rows_of(told), generation_of(told)
         whole = plain or bool(told.get("reset"))
         read = self.read(rows)
         if self.state is WAITING and self.base and not whole:
@@ -219,6 +216,14 @@
     return rows
 
 
+def generation_of(told: dict[str, Any]) -> int | None:
+    """None where the list has none that can be used."""
+    generation = told.get("generation")
+    if isinstance(generation, bool) or not isinstance(generation, int) or generation < 0:
+        return None
+    return generation
+
+
 def number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
         raise ValueError("not a number to count with")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -730,37 +730,21 @@
         listed = http(json.dumps({"generation": 1, "reset": True, "instances": [row]}).encode())
         discovery = await self.stand_in(lambda head, body: None if b"since=" in head else listed)
         family = {"counter": True, "countWaitMs": 30.0, "unitsTop": 9}
-        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
-            json.dump(
-                told(discovery.address, [row], counter=counter.address, settings=settings(familyInfo=family)),
-                file,
-            )
-            file.flush()
-            run = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-O",
-                "-m",
-                "drumgw",
-                env={**os.environ, "GW_CONFIG": file.name},
-                stderr=asyncio.subprocess.PIPE,
-            )
-            assert run.stderr
-            while b" serves at " not in (said := await run.stderr.readline()):
-                self.assertTrue(said, "it ended early")
-            host, _, port = said.split(b" serves at ")[1].split(b": ")[0].decode().rpartition(":")
-            self.place = host, int(port)
-            line = self.client()
-            line.write(request(Request_Timeout="60000m"))
-            await until(lambda: worker.came)
-            run.terminate()
-            while b"told to end" not in (said := await run.stderr.readline()):
-                self.assertTrue(said, "it ended early")
-            run.terminate()
-            held.set_result(http(b"ok"))
-            self.assertIn(b"Connection: close", await line.read(b"ok"))
-            said = await run.stderr.read()
-            self.assertIn(b"0 left open, invariants broken: none", said)
-            self.assertEqual(await run.wait(), 0)
+        process = await Process.start(
+            told(discovery.address, [row], counter=counter.address, settings=settings(familyInfo=family))
+        )
+        self.place = await process.serves()
+        line = self.client()
+        line.write(request(Request_Timeout="60000m"))
+        await until(lambda: worker.came)
+        process.run.terminate()
+        await process.says(b"told to end")
+        process.run.terminate()
+        held.set_result(http(b"ok"))
+        self.assertIn(b"Connection: close", await line.read(b"ok"))
+        said = await process.log.read()
+        self.assertIn(b"0 left open, invariants broken: none", said)
+        self.assertEqual(await process.run.wait(), 0)
 
 
 class Edges(CrossingCase):
