Client connections are bounded in what they keep of the bytes they read

Cause, with the collector off and the objects searched for what refers to large strings: aiohttp's RequestHandler.data_received queues a parser error, whose traceback refers to that method's frame, which refers to the queue: a reference cycle with the bytes just read (up to 256 KB) and the parser's message (up to 254 KB). It reads on until the error's response is written, and each further read fails anew: 15 errors and 5.0 MB on 5 connections. Live ones hold more: a head may have 128 headers of 8 KB, which takes 1.6 MB parsed (200 partial heads: 339 MB). So a collection alone does not help.

Reads are at most 16 KB; reading stops with the first error, and the error loses its traceback. Heads are limited to 16 KB (431), chunk framing to 32 KB (413). Bytes without a response are counted, for a connection (256 KB) and for all (an eighth of limits.memory_mb): over that the largest partial requests get 503. A closing connection drops its parser. A client that reads no responses is not served on.

The tests of floods, freed connections, head sizes, framing and the shared limit failed on the code before.

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -22,11 +22,12 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_server import Server
 
+from drumgw.gateway.bounded_connection import BoundedConnection
 from drumgw.gateway.clock import StallAwareClock
+from drumgw.gateway.receive_budget import ReceiveBudget
 from drumgw.gateway.responses import CompleteResponse
 
 CLIENT_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -63,8 +64,8 @@
         """Starts polling the CLOSING connections; called whenever one enters that state."""
 
 
-class ClientConnection(RequestHandler):
-    """aiohttp's handler of one client connection, extended by a state.
+class ClientConnection(BoundedConnection):
+    """A client's connection with a state.
 
     Attributes:
         state: The current state.
@@ -89,10 +90,11 @@
         self,
         registry: ConnectionRegistry,
         log_internal_error: Callable[[Exception, str], None],
+        budget: ReceiveBudget,
         server: Server,
         **kwargs: Any,
     ) -> None:
-        super().__init__(server, **kwargs)
+        super().__init__(budget, server, **kwargs)
         self.state = ConnectionState.NEW
         self.state_since_ms = registry.clock.now()
         self.tenant_key = ""
@@ -134,6 +136,7 @@
         if transport is None or transport.is_closing():
             return
         self._pause_transport_reading()
+        self.release_all()
         self._force_close = True  # ends aiohttp's request loop without closing the socket
         self.enter_state(ConnectionState.CLOSING)
         if response:
@@ -211,6 +214,16 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         return any(seen & events for _, seen in poll.poll(0))
 
+    async def wait_until_read(self) -> None:
+        """Waits until the client has read most of the earlier responses.
+
+        Otherwise the responses to a client that sends requests but reads nothing would pile up here. The wait
+        is limited by `CLIENT_IDLE_TIMEOUT_MS`, as in state READING.
+        """
+        if self.writing_paused:
+            self.enter_state(ConnectionState.READING)
+            await self._drain_helper()
+
     # Called by asyncio and aiohttp
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -246,7 +259,3 @@
         """Reports an error that aiohttp logs for this connection through the gateway's own log."""
         error = exc_info if isinstance(exc_info, Exception) else RuntimeError(*args)
         self._log_internal_error(error, "a client connection")
-
-    def _resume_transport_reading(self) -> None:
-        if self.state is not ConnectionState.CLOSING:
-            super()._resume_transport_reading()
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -13,9 +13,10 @@
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_server import Server
 
 from drumgw.gateway import http_headers
+from drumgw.gateway.bounded_connection import PartialRequestRejectedError
+from drumgw.gateway.bounded_server import BoundedServer
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
 from drumgw.gateway.clock import MS_PER_S
 from drumgw.gateway.commands import SendResponse
@@ -34,14 +35,18 @@
 More than one, as a connection accepted in one event-loop iteration becomes known only in the next."""
 
 
-class ConnectionServer(Server):
-    """An aiohttp server whose connections are `ClientConnection` objects."""
+class ConnectionServer(BoundedServer):
+    """A server whose connections are `ClientConnection` objects.
+
+    Attributes:
+        connection_factory: Creates the handler of a connection; set before the server is started.
+    """
 
     connection_factory: Callable[..., ClientConnection]
 
-    def __call__(self) -> ClientConnection:
-        """Creates the protocol of a new connection; called by asyncio."""
-        return self.connection_factory(self, loop=self._loop, **self._kwargs)
+    def create_connection(self, **options: Any) -> ClientConnection:
+        """Returns the handler of a new connection."""
+        return self.connection_factory(self.budget, self, **options)
 
 
 class ServingService(NamedTuple):
@@ -81,6 +86,7 @@
         self.socket: asyncio.Server | None = None
         self.server = ConnectionServer(
             self.handle,
+            max_unanswered_bytes=config.max_unanswered_bytes,
             handler_cancellation=True,
             request_factory=self._make_request,
             access_log=None,
@@ -124,6 +130,8 @@
         target: str = request._message.path  # raw; the public attributes are decoded and re-encoded
         client: ClientConnection = request.protocol  # type: ignore[assignment]
         is_bad_request = False
+        if client.writing_paused:
+            await client.wait_until_read()
         try:
             if target in (READINESS_PATH, LIVENESS_PATH):
                 response = CompleteResponse(200 if self.ready or target == LIVENESS_PATH else 503)
@@ -138,6 +146,7 @@
         # During shutdown, pipelined requests that were already read are answered first.
         if is_bad_request or self.is_shutting_down and not client._messages:
             response.force_close()
+        client.release_answered()
         client.enter_state(ConnectionState.IDLE)
         self.limits.close_surplus_idle()
         return response
@@ -210,7 +219,11 @@
             return await request.read()
         except HTTPRequestEntityTooLarge as error:
             raise BadRequestError(413, "the body is too large") from error
-        except (RequestPayloadError, ValueError) as error:
+        except RequestPayloadError as error:
+            error.__traceback__ = None  # its frames refer to the body, and to the error itself
+            status = error.status if isinstance(error, PartialRequestRejectedError) else 400
+            raise BadRequestError(status, "the body can't be read") from error
+        except ValueError as error:
             raise BadRequestError(400, "the body can't be read") from error
 
     def _make_request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
--- a/drumgw/gateway/process_config.py
+++ b/drumgw/gateway/process_config.py
@@ -27,6 +27,12 @@
 CLIENT_IDLE_TIMEOUT_MS = 2000.0
 """A client's connection without a request in flight may be closed after this time (protocol)."""
 DEFAULT_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192.0
+MAX_MEMORY_MB = 1024.0 * 1024.0
+UNANSWERED_FRACTION = 1 / 8
+"""Share of the memory limit for bytes of requests without a response. A request is held up to four times: as
+read, parsed, forwarded and in a write buffer. So all requests take up half of the memory at most."""
+BYTES_PER_MB = 1024 * 1024
 DEFAULT_CONNECT_TIMEOUT_MS = 1000.0
 DEFAULT_DRAIN_GRACE_MS = 250.0
 MAX_PORT = 65535
@@ -66,6 +72,8 @@
     max_client_connections: int
     max_requesting_clients: int
     """Maximum number of client connections that have sent a request."""
+    max_unanswered_bytes: int
+    """Limit on the bytes that were received from clients for requests without a response."""
     max_endpoint_connections: int
     endpoint_idle_ms: float
     """How long an idle connection to an endpoint is kept open."""
@@ -154,7 +162,8 @@
     raw_settings = raw["settings"]
     settings, names = read_settings(raw_settings)
     ceilings = raw_settings["ceilings"]
-    sockets = int((raw.get("limits") or {}).get("sockets") or DEFAULT_SOCKETS)
+    raw_limits = raw.get("limits") or {}
+    sockets = int(raw_limits.get("sockets") or DEFAULT_SOCKETS)
     counter = parse_address(raw["counter"], "counter") if settings.has_counter else None
     limits = _divide_descriptors(sockets, has_counter=counter is not None)
     drain_grace_ms = raw_settings["contract"].get("stopSendingWithinMs")
@@ -169,6 +178,7 @@
         names=names,
         max_client_connections=limits.clients,
         max_requesting_clients=limits.requesting_clients,
+        max_unanswered_bytes=unanswered_bytes(float(raw_limits.get("memory_mb") or DEFAULT_MEMORY_MB)),
         max_endpoint_connections=limits.endpoints,
         endpoint_idle_ms=float(ceilings.get("connIdleMs") or 0) / 2,  # well before the endpoint closes it
         connect_timeout_ms=float(ceilings.get("connectTimeoutMs") or DEFAULT_CONNECT_TIMEOUT_MS),
@@ -177,6 +187,17 @@
     )
 
 
+def unanswered_bytes(memory_mb: float) -> int:
+    """Returns the limit on bytes of requests without a response, for a process with this memory limit.
+
+    Raises:
+        ConfigError: the memory limit is not a positive number.
+    """
+    if not 0 < memory_mb <= MAX_MEMORY_MB:
+        raise ConfigError(f"limits.memory_mb is {memory_mb}, expected a positive number")
+    return int(memory_mb * BYTES_PER_MB * UNANSWERED_FRACTION)
+
+
 def _divide_descriptors(sockets: int, has_counter: bool) -> ConnectionBudget:
     """Divides the file descriptors of the process between client and endpoint connections.
 
--- /dev/null
+++ b/drumgw/gateway/receive_budget.py
@@ -0,0 +1,83 @@
+"""Bounds the bytes that were received from clients for requests without a response.
+
+Everything that a client sends is kept until its request has a response: in part by the HTTP parser, in part
+by the request. The budget counts these bytes, for each connection and over all connections of a listener.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+PARSED_HEAD_BYTES = 2048
+"""What a parsed head takes up beyond the bytes received: most of the memory of a short request."""
+MAX_CONNECTION_BYTES = 256 * 1024
+"""Exceeds what a system keeps for a connection by default, and the largest request with its framing."""
+
+
+class ReceivingConnection(Protocol):
+    """A connection that receives requests.
+
+    Attributes:
+        unanswered_bytes: Bytes received for requests without a response; changed by the budget alone.
+    """
+
+    unanswered_bytes: int
+
+    def is_receiving_request(self) -> bool:
+        """Whether its only unanswered request has not been received completely."""
+
+    def reject_partial_request(self) -> None:
+        """Rejects the request that is being received, and stops reading."""
+
+
+class ReceiveBudget:
+    """Counts received bytes, and frees memory when all connections together exceed their limit.
+
+    Args:
+        max_total_bytes: Limit on the bytes of all connections.
+        connections: Returns the connections that share the budget.
+
+    Attributes:
+        total_bytes: The bytes of all connections.
+    """
+
+    def __init__(
+        self, max_total_bytes: int, connections: Callable[[], Iterable[ReceivingConnection]]
+    ) -> None:
+        self.total_bytes = 0
+        self._max_total_bytes = max_total_bytes
+        self._connections = connections
+
+    def receive(self, connection: ReceivingConnection, byte_count: int) -> bool:
+        """Counts bytes of a connection; returns whether to go on reading before its next response.
+
+        Over the total limit it rejects partial requests, the largest first. Requests that have been received
+        completely keep their memory until they have a response; their connections are not read meanwhile.
+        """
+        connection.unanswered_bytes += byte_count
+        self.total_bytes += byte_count
+        while self.total_bytes > self._max_total_bytes:
+            largest = self._largest_partial_request()
+            if largest is None:
+                return False
+            self.release(largest)
+            largest.reject_partial_request()
+        return connection.unanswered_bytes < MAX_CONNECTION_BYTES or connection.is_receiving_request()
+
+    def release(self, connection: ReceivingConnection) -> None:
+        """Stops counting the bytes of a connection: its requests have responses, or it ends."""
+        self.total_bytes -= connection.unanswered_bytes
+        connection.unanswered_bytes = 0
+
+    def _largest_partial_request(self) -> ReceivingConnection | None:
+        partial = [
+            connection
+            for connection in self._connections()
+            if connection.unanswered_bytes and connection.is_receiving_request()
+        ]
+        return max(partial, key=_unanswered_bytes) if partial else None
+
+
+def _unanswered_bytes(connection: ReceivingConnection) -> int:
+    return connection.unanswered_bytes
--- a/drumgw/hosting/host_process.py
+++ b/drumgw/hosting/host_process.py
@@ -12,7 +12,12 @@
 from drumgw.config.host_file import HostFile
 from drumgw.gateway.clock import MonotonicClock, StallAwareClock
 from drumgw.gateway.process import GC_THRESHOLD, SHUTDOWN_LINGER_MS
-from drumgw.gateway.process_config import RESERVED_DESCRIPTORS, ConfigError, parse_address
+from drumgw.gateway.process_config import (
+    RESERVED_DESCRIPTORS,
+    ConfigError,
+    parse_address,
+    unanswered_bytes,
+)
 from drumgw.gateway.signals import handle_signal, ignore_signals
 from drumgw.hosting.admin_api import MAX_CONCURRENT_CALLS, AdminApi
 from drumgw.hosting.authentication import ApiToken, Authenticator, Role
@@ -173,6 +178,7 @@
         listen=parse_address(file.host.listen, "listen"),
         max_client_connections=max_connections,
         max_requesting_clients=max_connections * numerator // denominator,
+        max_unanswered_bytes=unanswered_bytes(file.limits.memory_mb),
     )
 
 
--- a/drumgw/hosting/http_server.py
+++ b/drumgw/hosting/http_server.py
@@ -31,11 +31,13 @@
         listen: host and port.
         max_client_connections: limit on open connections.
         max_requesting_clients: limit on the connections among them that have sent a request.
+        max_unanswered_bytes: limit on the bytes received for requests without a response.
     """
 
     listen: tuple[str, int]
     max_client_connections: int
     max_requesting_clients: int
+    max_unanswered_bytes: int
 
 
 class ListenerDispatcher:
--- /dev/null
+++ b/tests/test_bounded_connections.py
@@ -0,0 +1,244 @@
+"""Tests of what a gateway keeps of the bytes that it reads, and for how long."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import socket
+import sys
+from pathlib import Path
+from unittest import mock
+
+from drumgw.gateway.bounded_connection import MAX_FRAMING_BYTES
+from drumgw.gateway.client_connections import ClientConnection
+from drumgw.gateway.process_config import MAX_BODY_BYTES, MAX_HEAD_BYTES, ConfigError
+from drumgw.gateway.receive_budget import MAX_CONNECTION_BYTES
+from tests.flood_clients import Flood, blocks
+from tests.gateway_case import (
+    POST_TARGET,
+    endpoint_row,
+    http_request,
+    load_config,
+    raw_config,
+)
+from tests.race_case import GatewaySubprocess, RaceCase, wait_until
+from tests.scripted_server import http_response
+
+MEMORY_LIMIT_MB = 192
+"""The largest memory limit that the operators name for a gateway."""
+FLOODING_CLIENTS = 4
+FLOOD_S = 3.0
+SAMPLE_S = 0.02
+KB = 1024
+
+
+def resident_mb(process_id: int) -> float:
+    """Returns the resident memory of a process that is not backed by a file."""
+    lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("RssAnon:")) / KB
+
+
+def live_objects(kind: type) -> int:
+    """Returns how many objects of a class exist, also those that only the garbage collector would free."""
+    return sum(type(candidate) is kind for candidate in gc.get_objects())
+
+
+class FloodTest(RaceCase):
+    """A gateway process while misbehaving clients send at full speed."""
+
+    async def most_mb_under(self, flood: Flood) -> float:
+        """Returns the most memory of a gateway while clients flood it."""
+        endpoint = await self.start_server(http_response(b"ok"))
+        rows = [endpoint_row("s", endpoint.address)]
+        endpoint_list = json.dumps({"generation": 1, "reset": True, "instances": rows}).encode()
+        agent = await self.start_server(
+            lambda head, body: None if b"since=" in head else http_response(endpoint_list)
+        )
+        limits = {"sockets": 1024, "memory_mb": MEMORY_LIMIT_MB}
+        gateway = await GatewaySubprocess.start(raw_config(agent.address, rows, limits=limits))
+        host, port = await gateway.wait_until_serving()
+        clients = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.flood_clients",
+            host,
+            str(port),
+            flood.name,
+            str(FLOODING_CLIENTS),
+            str(FLOOD_S),
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        ending = asyncio.create_task(clients.wait())
+        most_mb = 0.0
+        while not ending.done() and most_mb <= MEMORY_LIMIT_MB:
+            most_mb = max(most_mb, resident_mb(gateway.process.pid))
+            await asyncio.sleep(SAMPLE_S)
+        if not ending.done():
+            clients.kill()
+            await ending
+        gateway.process.terminate()
+        self.assertEqual(await gateway.process.wait(), 0)
+        return most_mb
+
+    async def test_floods_do_not_take_a_gateway_over_its_memory_limit(self) -> None:
+        """Regression: four clients with heads that never end took each gateway over 192 MB within 2 s."""
+        for flood in (Flood.HEADER, Flood.HEADERS, Flood.BODY, Flood.TRAILERS, Flood.LARGE_PIPELINE):
+            with self.subTest(flood=flood):
+                self.assertLess(await self.most_mb_under(flood), MEMORY_LIMIT_MB)
+
+
+class FreedConnectionsTest(RaceCase):
+    """What was received is freed when its connection ends, not when the garbage collector runs."""
+
+    def setUp(self) -> None:
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+
+    async def send_until_closed(self, flood: Flood) -> None:
+        """Sends until the gateway reads no more, and closes the connection."""
+        connection = self.open_client()
+        server = self.gateway.http_server.server
+        await wait_until(lambda: server.connections)
+        connection.sock.setblocking(False)
+        for block in blocks(flood):
+            try:
+                await asyncio.wait_for(asyncio.get_running_loop().sock_sendall(connection.sock, block), 0.1)
+            except (TimeoutError, ConnectionError):
+                break
+        connection.close()
+        await wait_until(lambda: not server.connections)
+
+    async def test_a_client_connection_that_ends_with_an_error_is_freed_at_once(self) -> None:
+        """Regression: the error of a head that never ends kept 1 MB of each connection in a cycle."""
+        await self.open_gateway()
+        for flood in set(Flood) - {Flood.PIPELINE, Flood.UNREAD_PIPELINE, Flood.LARGE_PIPELINE}:
+            with self.subTest(flood=flood):
+                await self.send_until_closed(flood)
+                await wait_until(lambda: not live_objects(ClientConnection))
+
+
+class RequestSizeTest(RaceCase):
+    """Limits on heads and on the framing of bodies."""
+
+    async def status_of(self, *pieces: bytes) -> bytes:
+        """Sends the pieces one by one, and returns the status of the response."""
+        connection = self.open_client()
+        for piece in pieces:
+            connection.write(piece)
+            await asyncio.sleep(0.02)
+        return (await connection.read(b"\r\n\r\n")).split()[1]
+
+    async def test_the_size_of_a_head_is_limited_however_it_arrives(self) -> None:
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        large = 6000 * "y"
+        rest = MAX_HEAD_BYTES - len(http_request(X_Note=large, X_More=large, X_Rest=""))
+        fitting, too_large = (
+            http_request(X_Note=large, X_More=large, X_Rest=(rest + more) * "y") for more in (0, 1)
+        )
+        for head, status in ((fitting, b"200"), (too_large, b"431")):
+            self.assertEqual(await self.status_of(head), status)
+            self.assertEqual(await self.status_of(head[:5000], head[5000:10_000], head[10_000:]), status)
+        self.assertEqual(await self.status_of(too_large[:-2] + b"X-Last: y"), b"431")
+        self.assertEqual(len(endpoint.requests), 2)
+
+    async def test_a_pipelined_head_over_the_limit_is_rejected_after_the_responses_before_it(self) -> None:
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        connection = self.open_client()
+        connection.write(
+            http_request() + http_request(X_Note=8000 * "y", X_More=8000 * "y", X_Rest=999 * "y")
+        )
+        answers = await connection.read_to_end()
+        self.assertEqual(
+            [line.split()[1] for line in answers.split(b"\r\n") if b"HTTP/1.1" in line], [b"200", b"431"]
+        )
+
+    async def test_a_body_may_come_in_small_chunks_but_not_with_endless_framing(self) -> None:
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        head = http_request(POST_TARGET, "POST", Transfer_Encoding="chunked")
+        small_chunks = 2000 * b"1\r\ny\r\n" + b"0\r\nX-Note: 1\r\n\r\n"
+        self.assertEqual(await self.status_of(head, small_chunks), b"200")
+        self.assertEqual(endpoint.requests[0][1], 2000 * b"y")
+        large_chunks = 16 * (b"1000\r\n" + 4096 * b"y" + b"\r\n") + b"0\r\n\r\n"
+        self.assertEqual(await self.status_of(head, large_chunks), b"200")
+        self.assertEqual(len(endpoint.requests[1][1]), MAX_BODY_BYTES)
+        self.assertEqual(await self.status_of(head, b"1;" + 2 * MAX_FRAMING_BYTES * b"x"), b"413")
+
+    async def test_malformed_chunks_get_their_error_at_once(self) -> None:
+        await self.open_gateway()
+        head = http_request(POST_TARGET, "POST", Transfer_Encoding="chunked")
+        self.assertEqual(await self.status_of(head, b"5\r\nhello\r\nnoise\r\n"), b"400")
+
+
+class SharedBudgetTest(RaceCase):
+    """The limit on the bytes of all connections together."""
+
+    async def test_large_partial_requests_give_way_to_others(self) -> None:
+        """With 1 MB of memory for the process, 128 KB are for requests: two of 60 KB and a short one."""
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address, limits={"sockets": 1024, "memory_mb": 1})
+        partial = http_request(POST_TARGET, "POST", 60_000 * b"y")[:-1]
+        connections = [self.open_client() for _ in range(6)]
+        for connection in connections:
+            connection.write(partial)
+        self.assertEqual((await self.send_request(Request_Id="1"))[0], 200)
+        rejected = 0
+        for connection in connections:
+            connection.sock.setblocking(False)
+            try:
+                answer = await asyncio.wait_for(connection.read(b"\r\n\r\n"), 0.2)
+            except TimeoutError:
+                continue
+            self.assertEqual(answer.split()[1], b"503")
+            rejected += 1
+        self.assertGreaterEqual(rejected, 4)
+        self.assertEqual(len(endpoint.requests), 1)
+
+    async def test_pipelined_requests_beyond_the_limit_wait_and_are_all_answered(self) -> None:
+        """Requests of 60 KB, with a limit for the process below two of them."""
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address, limits={"sockets": 1024, "memory_mb": 0.5})
+        reader, writer = await self.connect()
+        count = 20
+        for number in range(count):
+            writer.write(http_request(POST_TARGET, "POST", 50_000 * b"y", Request_Id=f"{number}"))
+        async with asyncio.timeout(10):
+            for _ in range(count):
+                self.assertIn(b" 200 ", await reader.readuntil(b"\r\n\r\n"))
+                await reader.readexactly(2)
+        self.assertEqual(len(endpoint.requests), count)
+
+    async def test_requests_behind_one_in_flight_are_read_up_to_the_limit_of_their_connection(self) -> None:
+        endpoint = await self.start_server(None)
+        await self.open_gateway(endpoint.address)
+        connection = self.open_client()
+        connection.sock.setblocking(False)
+        requests = 50 * b"".join(http_request(Request_Id=f"{n}", X_Note=4000 * "y") for n in range(100))
+        with self.assertRaises(TimeoutError):  # the gateway stops reading
+            await asyncio.wait_for(asyncio.get_running_loop().sock_sendall(connection.sock, requests), 1)
+        (client,) = self.gateway.http_server.server.connections
+        assert isinstance(client, ClientConnection)
+        self.assertLess(client.unanswered_bytes, 2 * MAX_CONNECTION_BYTES)
+
+    async def test_a_client_that_reads_no_responses_is_not_served_on(self) -> None:
+        """Each response has 60 KB: without a limit they would pile up in the write buffer."""
+        endpoint = await self.start_server(http_response(60_000 * b"x"))
+        await self.open_gateway(endpoint.address)
+        connection = self.open_client()
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.write(b"".join(http_request(Request_Id=f"{n}") for n in range(500)))
+        limits = self.gateway.http_server.limits
+        with mock.patch("drumgw.gateway.connection_limits.CLIENT_IDLE_TIMEOUT_MS", 300.0):
+            await wait_until(lambda: endpoint.requests and not limits.count())
+        self.assertLess(len(endpoint.requests), 400)
+
+    def test_the_memory_limit_must_be_a_positive_number(self) -> None:
+        for memory_mb in (-1, float("inf"), float("nan"), "much"):
+            with self.assertRaises(ConfigError):
+                load_config(raw_config("127.0.0.1:1", [], limits={"memory_mb": memory_mb}))
+        without = load_config(raw_config("127.0.0.1:1", [], limits={}))
+        self.assertGreater(without.max_unanswered_bytes, MAX_HEAD_BYTES + MAX_BODY_BYTES)
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -104,7 +104,7 @@
         """
         host_process = await self.start_host(await self.tenant("t1"), await self.tenant("t2"))
         limits = host_process.http_server.tenant_limits
-        limits.bounds = ListenerConfig(("127.0.0.1", 0), 10, 8)
+        limits.bounds = ListenerConfig(("127.0.0.1", 0), 10, 8, 10**6)
         quiet_reader, quiet_writer = await self.connect()
         request = (
             b"GET " + TARGET.encode() + b" HTTP/1.1\r\nHost: %s.example\r\nRequest-Id: %d\r\nPlan: p\r\n"
