Connections to peers free what they read when they end

A failed call to discovery was kept by its own task.

The framer is closed with its connection; decoded chunks are taken out at each read, as aiohttp keeps the position of every chunk; trailers are limited to 16 of 1 KB.

--- a/drumgw/gateway/discovery.py
+++ b/drumgw/gateway/discovery.py
@@ -278,6 +278,7 @@
             exchange.connection = None
             handle.release()
         finally:
+            poll.task = None  # breaks a reference cycle: the task of a failed call keeps its error and frames
             connection.on_response = connection.on_error = None
             exchange.close()
 
--- a/drumgw/gateway/peer_connection.py
+++ b/drumgw/gateway/peer_connection.py
@@ -146,6 +146,7 @@
             response = self.framer.end_of_stream()
             if response is not None:
                 self._deliver(response)
+        self.framer.close()
         super().connection_lost(exc)
         self._report_error(exc if isinstance(exc, OSError) else aiohttp.ServerDisconnectedError())
 
--- a/drumgw/gateway/response_framing.py
+++ b/drumgw/gateway/response_framing.py
@@ -30,6 +30,11 @@
 """Limit on aiohttp's buffer for a chunked body, in multiples of the maximum body size.
 
 It exceeds what a single read returns, so aiohttp never pauses the connection."""
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+"""Starts a parser that only decodes the chunks of a body."""
+MAX_TRAILERS = 16
+MAX_TRAILER_BYTES = MAX_HEAD_BYTES // MAX_TRAILERS
+"""Largest trailer. aiohttp keeps all trailers of a chunked body."""
 
 
 class RawResponse(NamedTuple):
@@ -51,14 +56,15 @@
     def __init__(self, protocol: BaseProtocol, loop: asyncio.AbstractEventLoop, max_body_bytes: int) -> None:
         self.message: RawResponseMessage | None = None
         self.reusable = True
-        self._protocol = protocol
+        self._protocol: BaseProtocol | None = protocol  # None once closed
         self._loop = loop
         self._max_body_bytes = max_body_bytes
         self._buffer = b""  # size limited to one head and one body
         self._body_length: int | None = 0  # None: until the connection ends, or chunked
         self._chunk_parser: HttpResponseParser | None = None
         self._chunked_body: aiohttp.StreamReader | None = None
-        self._head_parser = HttpResponseParser(
+        self._decoded_body = bytearray()  # of a chunked body
+        self._head_parser: HttpResponseParser | None = HttpResponseParser(  # None once closed
             protocol, loop, max_body_bytes, response_with_body=False, auto_decompress=False
         )
 
@@ -107,9 +113,15 @@
         return self._complete(body)
 
     def discard(self) -> None:
-        """Discards the bytes and the head of an incomplete response."""
+        """Discards what was received of an incomplete response."""
         self._buffer = b""
-        self.message = None
+        self._end_response()
+
+    def close(self) -> None:
+        """Frees everything, also the parsers: they refer to the connection, which refers to the framer."""
+        self.discard()
+        self._protocol = None
+        self._head_parser = None
 
     def _read_head(self) -> bool:
         end = self._buffer.find(HEAD_END) + len(HEAD_END)
@@ -120,6 +132,7 @@
             return False
         head = self._buffer[:end]
         self._buffer = self._buffer[end:]
+        assert self._head_parser is not None
         messages, upgraded, _ = self._head_parser.feed_data(head)
         if len(messages) != 1 or upgraded:
             raise MalformedResponseError("response head is invalid or switches protocols")
@@ -127,20 +140,26 @@
         if message.code == SWITCHING_PROTOCOLS:
             raise MalformedResponseError("response switches protocols (101)")
         if message.code >= FIRST_FINAL_STATUS:  # a 1xx response precedes the final response
-            self._begin_body(message, head)
+            self._begin_body(message)
         return True
 
-    def _begin_body(self, message: RawResponseMessage, head: bytes) -> None:
+    def _begin_body(self, message: RawResponseMessage) -> None:
         declared = message.headers.get("Content-Length")
         self.message = message
         self._body_length = int(declared) if declared else None
         if message.code in STATUSES_WITHOUT_BODY:
             self._body_length = 0
         elif message.chunked:
+            assert self._protocol is not None
             self._chunk_parser = HttpResponseParser(
-                self._protocol, self._loop, CHUNK_BUFFER_FACTOR * self._max_body_bytes, auto_decompress=False
+                self._protocol,
+                self._loop,
+                CHUNK_BUFFER_FACTOR * self._max_body_bytes,
+                max_field_size=MAX_TRAILER_BYTES,
+                max_headers=MAX_TRAILERS,
+                auto_decompress=False,
             )
-            self._chunked_body = self._chunk_parser.feed_data(head)[0][0][1]
+            self._chunked_body = self._chunk_parser.feed_data(CHUNKED_HEAD)[0][0][1]
         elif (
             self._body_length is None
             and not message.should_close
@@ -173,14 +192,20 @@
             self.reusable = False  # stray bytes after the last chunk; the response itself is valid
         if chunked_body.total_bytes > self._max_body_bytes:
             raise MalformedResponseError("chunked response body exceeds the size limit")
+        # Taken out after each read: aiohttp keeps the position of every chunk until its bytes are taken.
+        self._decoded_body += chunked_body.read_nowait()
         if not chunked_body.is_eof():
             return None
-        return self._complete(chunked_body.read_nowait())
+        return self._complete(bytes(self._decoded_body))
 
     def _complete(self, body: bytes) -> RawResponse:
         message = self.message
         assert message is not None
+        self._end_response()
+        return RawResponse(message, body)
+
+    def _end_response(self) -> None:
         self.message = None
         self._chunk_parser = None
         self._chunked_body = None
-        return RawResponse(message, body)
+        self._decoded_body = bytearray()
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -12,6 +12,7 @@
 
 from drumgw.gateway.bounded_connection import MAX_FRAMING_BYTES
 from drumgw.gateway.client_connections import ClientConnection
+from drumgw.gateway.peer_connection import PeerConnection
 from drumgw.gateway.process_config import MAX_BODY_BYTES, MAX_HEAD_BYTES, ConfigError
 from drumgw.gateway.receive_budget import MAX_CONNECTION_BYTES
 from tests.flood_clients import Flood, blocks
@@ -118,6 +119,24 @@
                 await self.send_until_closed(flood)
                 await wait_until(lambda: not live_objects(ClientConnection))
 
+    async def test_an_endpoint_connection_that_ends_is_freed_at_once(self) -> None:
+        """Its parsers hold the last head, and what came of an incomplete body."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8000\r\n" + 0x8000 * b"x"
+        responses = (
+            http_response(b"ok", Connection="close"),
+            b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + 50_000 * b"x",
+            chunked + b"\r\n7",
+            chunked + b"\r\nnoise",
+        )
+        for response in responses:
+            with self.subTest(response=response[:60]):
+                endpoint = await self.start_server(response)
+                await self.open_gateway(endpoint.address)
+                discovery_connections = live_objects(PeerConnection)
+                await self.send_request()
+                await wait_until(lambda: live_objects(PeerConnection) <= discovery_connections)  # noqa: B023
+                await self.close_gateway()
+
 
 class RequestSizeTest(RaceCase):
     """Limits on heads and on the framing of bodies."""
