Connections of the administration API are bounded like those of clients

A call that cannot be read gets problem details without a log line with a traceback, and a malformed chunk 400 in place of 500. The test is new; it needs the classes of this commit.

--- a/drumgw/hosting/admin_api.py
+++ b/drumgw/hosting/admin_api.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import cast
 
 from aiohttp import web
 from aiohttp.typedefs import Handler as HttpHandler
+from aiohttp.web_protocol import RequestPayloadError
 from loguru import logger
 
-from drumgw.gateway.process_config import ConfigError
+from drumgw.gateway.bounded_connection import BoundedConnection, PartialRequestRejectedError
+from drumgw.gateway.process_config import MAX_HEAD_BYTES, ConfigError
+from drumgw.hosting.admin_connections import AdminAppRunner
 from drumgw.hosting.admin_handlers import HANDLERS, AdminHandlers, ApiCall, Handler, openapi_response
 from drumgw.hosting.api_operations import OPERATIONS, ApiOperation
 from drumgw.hosting.authentication import ApiToken, Authenticator, is_allowed
@@ -31,6 +35,8 @@
 
 MAX_BODY_BYTES = 256 * 1024
 MAX_CONCURRENT_CALLS = 16
+MAX_UNANSWERED_BYTES = MAX_CONCURRENT_CALLS * (MAX_HEAD_BYTES + MAX_BODY_BYTES)
+BAD_REQUEST = 400
 KEEP_ALIVE_S = 10.0
 LISTEN_BACKLOG = 64
 UNHANDLED_EXCEPTION_STATUS = 500
@@ -55,7 +61,12 @@
         )
         for operation in OPERATIONS:
             self.app.router.add_route(operation.method, operation.path, self._route_handler(operation))
-        self._runner = web.AppRunner(self.app, access_log=None, keepalive_timeout=KEEP_ALIVE_S)
+        self._runner = AdminAppRunner(
+            self.app,
+            max_unanswered_bytes=MAX_UNANSWERED_BYTES,
+            access_log=None,
+            keepalive_timeout=KEEP_ALIVE_S,
+        )
 
     async def open(self, address: tuple[str, int]) -> tuple[str, int]:
         """Starts listening and returns the bound address; raises OSError if it cannot be bound."""
@@ -87,6 +98,10 @@
             return problem_response(error)
         except web.HTTPException as error:
             return problem_response(HttpStatusError(error.status, error.reason), allowed_methods(error))
+        except RequestPayloadError as error:
+            error.__traceback__ = None  # its frames refer to the body, and to the error itself
+            status = error.status if isinstance(error, PartialRequestRejectedError) else BAD_REQUEST
+            return problem_response(HttpStatusError(status, "The body cannot be read"))
         except ConfigError as error:
             return problem_response(InvalidSpecError(str(error)))
         except Exception as error:
@@ -94,6 +109,7 @@
             return problem_response(InternalError())
         finally:
             self.open_call_count -= 1
+            cast(BoundedConnection, request.protocol).release_answered()
 
     def _route_handler(self, operation: ApiOperation) -> Callable[[web.Request], Awaitable[web.Response]]:
         async def handle(request: web.Request) -> web.Response:
--- /dev/null
+++ b/drumgw/hosting/admin_connections.py
@@ -0,0 +1,65 @@
+"""Connections of the administration API: aiohttp's application server with bounded connections."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any
+
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+
+from drumgw.gateway.bounded_connection import BoundedConnection
+from drumgw.gateway.bounded_server import BoundedServer
+from drumgw.hosting.errors import HttpStatusError
+from drumgw.hosting.problem_details import problem_response
+
+
+class AdminConnection(BoundedConnection):
+    """The connection of a caller."""
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a call that aiohttp cannot parse. Not logged: callers could flood the log with them."""
+        response = problem_response(HttpStatusError(status, HTTPStatus(status).phrase))
+        response.force_close()
+        return response
+
+
+class AdminServer(BoundedServer):
+    """A server whose connections are `AdminConnection` objects."""
+
+    def create_connection(self, **options: Any) -> AdminConnection:
+        """Returns the handler of a new connection."""
+        return AdminConnection(self.budget, self, **options)
+
+
+class AdminAppRunner(web.AppRunner):
+    """Serves an application on bounded connections.
+
+    Args:
+        app: The application.
+        max_unanswered_bytes: Limit on the bytes received for calls without a response.
+        options: The arguments of aiohttp's runner.
+    """
+
+    __slots__ = ("_max_unanswered_bytes",)
+
+    def __init__(self, app: web.Application, *, max_unanswered_bytes: int, **options: Any) -> None:
+        super().__init__(app, **options)
+        self._max_unanswered_bytes = max_unanswered_bytes
+
+    async def _make_server(self) -> AdminServer:
+        server = await super()._make_server()
+        return AdminServer(
+            server.request_handler,
+            max_unanswered_bytes=self._max_unanswered_bytes,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            loop=server._loop,
+            **server._kwargs,
+        )
--- a/tests/test_hosting_admin.py
+++ b/tests/test_hosting_admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import pathlib
 import re
@@ -17,6 +18,7 @@
 from drumgw.cli.__main__ import main
 from drumgw.gateway.process_config import ConfigError
 from drumgw.hosting.admin_api import MAX_BODY_BYTES, MAX_CONCURRENT_CALLS
+from drumgw.hosting.admin_connections import AdminConnection
 from drumgw.hosting.api_operations import OPERATIONS, possible_responses
 from drumgw.hosting.authentication import hash_token
 from drumgw.hosting.openapi import openapi_document
@@ -99,6 +101,30 @@
             await asyncio.sleep(POLL_S)
         self.assertEqual((await self.call("GET", "/v1/tenants")).status, 200)
 
+    async def test_calls_that_cannot_be_read_are_rejected_and_leave_nothing_behind(self) -> None:
+        """Regression: the error of a head that never ends kept what was read until the next collection."""
+        await self.start_host(await self.tenant("t1"))
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        post = (
+            f"POST /v1/tenants HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {OPERATOR_TOKEN}\r\n"
+            "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+        for call, status in (
+            (b"GET /v1/tenants HTTP/1.1\r\nX-Note: " + 500_000 * b"y", 400),
+            (b"GET /v1/tenants HTTP/1.1\r\n" + 50 * (b"X-Note: " + 4000 * b"y" + b"\r\n"), 431),
+            (post + b"1\r\n{\r\nnoise\r\n", 400),
+            (post + b"1\r\n{\r\n0\r\n" + 50 * (b"X-Note: " + 4000 * b"y" + b"\r\n"), 413),
+        ):
+            reader, writer = await asyncio.open_connection(*self.api)
+            writer.write(call)
+            async with asyncio.timeout(10):
+                self.assertEqual(int((await reader.readline()).split()[1]), status)
+                writer.transport.abort()
+                while any(type(candidate) is AdminConnection for candidate in gc.get_objects()):
+                    await asyncio.sleep(POLL_S)
+
     async def test_openapi_document_matches_served_operations(self) -> None:
         host_process = await self.start_host(await self.tenant("t1"))
         status, served_document, _ = await self.call("GET", "/openapi.json", token=None)
