Client connections: no error record is made, and reading a request costs less

aiohttp's data_received made the error record whose traceback kept the bytes, and it was undone afterwards. BoundedConnection parses by itself now: the error is dropped where it is caught, and one call less is made for each read. A connection's poll object is created once instead of before each attempt.

--- a/drumgw/gateway/bounded_connection.py
+++ b/drumgw/gateway/bounded_connection.py
@@ -3,19 +3,21 @@
 aiohttp's handler reads on while a response to malformed input is pending, and keeps what it has read: its
 parser holds the head so far, the request its body, and the traceback of a parser error the bytes that were
 being parsed. As the error is queued by the very method that the traceback refers to, that is a reference
-cycle, which is freed only by the garbage collector. `BoundedConnection` therefore
+cycle, which is freed only by the garbage collector. `BoundedConnection` has a method of its own in its place:
+it
 
 * reads in pieces of at most READ_BYTES,
 * rejects a head over MAX_HEAD_BYTES, and a chunked body with more than MAX_FRAMING_BYTES of framing,
-* stops reading with the first error, and drops the error's traceback,
+* stops reading with the first error, and keeps nothing of the error but a status,
 * counts all bytes without a response in a `ReceiveBudget`, and frees them when the connection ends.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
-from aiohttp.http import RawRequestMessage
+from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.http_exceptions import BadHttpMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
@@ -30,6 +32,9 @@
 MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
 """Limit on the chunk sizes, chunk extensions and trailers of a body."""
 
+ParsedRequest = tuple[RawRequestMessage, StreamReader]
+"""A head and its body, as aiohttp's parser returns them."""
+
 BAD_REQUEST = 400
 HEAD_TOO_LARGE = 431
 CONTENT_TOO_LARGE = 413
@@ -84,49 +89,57 @@
     # What a request may hold
 
     def data_received(self, data: bytes) -> None:
-        """Lets aiohttp parse the bytes, and enforces the limits.
+        """Parses the bytes, and enforces the limits.
 
-        aiohttp calls it without bytes to parse those that it has not parsed yet.
+        Replaces aiohttp's method. aiohttp calls it without bytes to parse those that it has not parsed yet.
         """
-        if self._has_stopped_reading:
+        if self._has_stopped_reading or self._force_close or self._close:
+            return
+        if self._upgraded:
+            super().data_received(data)
+            self._check_partial_head(len(data))
             return
-        request_count = self._request_count
+        assert self._parser is not None
+        byte_count = len(data)
         is_in_body = not self._last_payload.is_eof()
-        super().data_received(data)
-        if self._force_close or self._close:
+        try:
+            messages, self._upgraded, tail = self._parser.feed_data(data)
+        except HttpProcessingError:
+            self._reject(BAD_REQUEST)
             return
-        new_count = self._request_count - request_count
-        if new_count:
-            self._check_new_requests(new_count, len(data))
-        elif is_in_body and data:
-            self._check_partial_body(len(data))
+        if messages:
+            self._add_requests(messages, byte_count)
+            byte_count += PARSED_HEAD_BYTES * len(messages)
+        elif data and is_in_body:
+            self._check_partial_body(byte_count)
         elif data:
-            self._check_partial_head(len(data))
-        if not self._budget.receive(self, len(data) + PARSED_HEAD_BYTES * new_count):
+            self._check_partial_head(byte_count)
+        if tail:
+            self._message_tail = tail
+        if not self._budget.receive(self, byte_count):
             self._is_over_budget = True
             self._pause_transport_reading()
 
-    def _check_new_requests(self, new_count: int, byte_count: int) -> None:
-        """Rejects a head that is too large; the sizes are computed only if one may exceed the limit."""
-        self._is_answered = False
-        message, payload = self._messages[-1]
-        if type(message) is _ErrInfo:
-            self._stop_after_error(message.exc)
-            return
+    def _add_requests(
+        self, messages: Sequence[tuple[RawRequestMessage, StreamReader]], byte_count: int
+    ) -> None:
+        """Queues requests whose heads are complete; the sizes are computed only if one may be too large."""
         is_parsed_later = not byte_count
         most_head_bytes = self._surplus_bytes + self._head_bytes + byte_count
+        self._is_answered = False
         self._head_bytes = 0
         self._surplus_bytes = byte_count
         self._body_bytes = byte_count
-        if is_parsed_later or most_head_bytes > MAX_HEAD_BYTES:
-            new_messages = [self._messages.pop() for _ in range(new_count)]
-            for new_message, new_payload in reversed(new_messages):
-                assert not isinstance(new_message, _ErrInfo)
-                if _head_size(new_message) > MAX_HEAD_BYTES:
-                    self._reject(HEAD_TOO_LARGE)
-                    return
-                self._messages.append((new_message, new_payload))
-        self._last_payload = payload
+        self._request_count += len(messages)
+        for message, payload in messages:
+            if (is_parsed_later or most_head_bytes > MAX_HEAD_BYTES) and _head_size(message) > MAX_HEAD_BYTES:
+                self._reject(HEAD_TOO_LARGE)
+                return
+            self._messages.append((message, payload))
+            self._last_payload = payload
+        if len(self._messages) >= self._max_msg_queue_size:
+            self._buffer_paused = True
+        self._wake_up()
 
     def _check_partial_head(self, byte_count: int) -> None:
         if self._buffer_paused:  # further requests, which aiohttp does not parse yet
@@ -142,20 +155,20 @@
         self._body_bytes += byte_count
         self._surplus_bytes = byte_count
 
-    def _stop_after_error(self, error: BaseException) -> None:
-        self._stop_reading()
-        error.__traceback__ = None  # its frames refer to the bytes read, and to the error itself
-        self._reject_partial_body(BAD_REQUEST)
-
     def _reject(self, status: int) -> None:
-        """Answers a partial request with an error, after the responses to earlier requests."""
-        self._stop_reading()
-        if self._reject_partial_body(status):
-            return
-        error = _ErrInfo(status=status, exc=BadHttpMessage(""), message="")
-        self._messages.append((error, EMPTY_PAYLOAD))
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        """Stops reading, and answers a partial request with an error after the responses to earlier ones."""
+        self._has_stopped_reading = True
+        self._pause_transport_reading()
+        if not self._reject_partial_body(status):
+            error = _ErrInfo(status=status, exc=BadHttpMessage(""), message="")
+            self._messages.append((error, EMPTY_PAYLOAD))
+        self._wake_up()
+
+    def _wake_up(self) -> None:
+        """Lets aiohttp handle the queued requests, if it waits for one."""
+        waiter = self._waiter
+        if waiter is not None and self._messages and not waiter.done():
+            waiter.set_result(None)
 
     def _reject_partial_body(self, status: int) -> bool:
         """Ends the wait for the rest of a body; returns whether a request with a partial body was open."""
@@ -167,10 +180,6 @@
             self._last_payload.set_exception(PartialRequestRejectedError(status))
         return True
 
-    def _stop_reading(self) -> None:
-        self._has_stopped_reading = True
-        self._pause_transport_reading()
-
     # Called by the budget
 
     def is_receiving_request(self) -> bool:
--- a/drumgw/gateway/bounded_server.py
+++ b/drumgw/gateway/bounded_server.py
@@ -49,11 +49,12 @@
         buffer: Shared by the connections of an event loop; its content is copied before the next read.
     """
 
-    __slots__ = ("_connection", "_buffer")
+    __slots__ = ("_connection", "_buffer", "_receive")
 
     def __init__(self, connection: BoundedConnection, buffer: memoryview) -> None:
         self._connection = connection
         self._buffer = buffer
+        self._receive = connection.data_received
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
@@ -61,7 +62,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on the bytes that were read."""
-        self._connection.data_received(bytes(self._buffer[:nbytes]))
+        self._receive(bytes(self._buffer[:nbytes]))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Passes on the transport."""
--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -84,6 +84,7 @@
         "close_was_deferred",
         "_registry",
         "_log_internal_error",
+        "_poll",
     )
 
     def __init__(
@@ -102,6 +103,7 @@
         self.close_was_deferred = False
         self._registry = registry
         self._log_internal_error = log_internal_error
+        self._poll: select.poll | None = None  # created when the socket is polled first
 
     def enter_state(self, state: ConnectionState) -> None:
         """Changes the state; has no effect once the connection is closed."""
@@ -210,9 +212,11 @@
         transport = self.socket_transport
         if transport is None or transport.is_closing():
             return False
-        poll = select.poll()
-        poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return any(seen & events for _, seen in poll.poll(0))
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        ready = self._poll.poll(0)
+        return bool(ready) and bool(ready[0][1] & events)
 
     async def wait_until_read(self) -> None:
         """Waits until the client has read most of the earlier responses.
