Tests of freed connections count only the connections of their own test

The administration API's test failed in a run of the whole suite, and by itself never: the live connection that it found was that of a DELETE call of an earlier test, kept by the traceback of an exception (traced by its referrers). Connections that exist before the test do not count now; all that it opens do, as before.

--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -23,6 +23,7 @@
     load_config,
     raw_config,
 )
+from tests.live_objects import LiveObjects
 from tests.race_case import GatewaySubprocess, RaceCase, wait_until
 from tests.scripted_server import http_response
 
@@ -40,11 +41,6 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("RssAnon:")) / KB
 
 
-def live_objects(kind: type) -> int:
-    """Returns how many objects of a class exist, also those that only the garbage collector would free."""
-    return sum(type(candidate) is kind for candidate in gc.get_objects())
-
-
 class FloodTest(RaceCase):
     """A gateway process while misbehaving clients send at full speed."""
 
@@ -114,10 +110,11 @@
     async def test_a_client_connection_that_ends_with_an_error_is_freed_at_once(self) -> None:
         """Regression: the error of a head that never ends kept 1 MB of each connection in a cycle."""
         await self.open_gateway()
+        connections = LiveObjects(ClientConnection)
         for flood in set(Flood) - {Flood.PIPELINE, Flood.UNREAD_PIPELINE, Flood.LARGE_PIPELINE}:
             with self.subTest(flood=flood):
                 await self.send_until_closed(flood)
-                await wait_until(lambda: not live_objects(ClientConnection))
+                await wait_until(lambda: not connections.count())
 
     async def test_an_endpoint_connection_that_ends_is_freed_at_once(self) -> None:
         """Its parsers hold the last head, and what came of an incomplete body."""
@@ -132,9 +129,13 @@
             with self.subTest(response=response[:60]):
                 endpoint = await self.start_server(response)
                 await self.open_gateway(endpoint.address)
-                discovery_connections = live_objects(PeerConnection)
+                pool_connections = self.gateway.endpoint_clients.pool.connections
+                connections = LiveObjects(
+                    PeerConnection,
+                    lambda connection: connection._open_connections is pool_connections,  # noqa: B023
+                )
                 await self.send_request()
-                await wait_until(lambda: live_objects(PeerConnection) <= discovery_connections)  # noqa: B023
+                await wait_until(lambda: not connections.count())  # noqa: B023
                 await self.close_gateway()
 
 
--- a/tests/test_hosting_admin.py
+++ b/tests/test_hosting_admin.py
@@ -25,6 +25,7 @@
 from drumgw.hosting.registry_persistence import registry_to_json
 from drumgw.hosting.state_file import StateFile
 from tests.hosting_harness import OPERATOR_TOKEN, PLANS, POLL_S, TENANT_TOKEN, HostCase
+from tests.live_objects import LiveObjects
 
 
 class ValidationAndLimits(HostCase):
@@ -107,6 +108,7 @@
         gc.collect()
         gc.disable()
         self.addCleanup(gc.enable)
+        connections = LiveObjects(AdminConnection)
         post = (
             f"POST /v1/tenants HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {OPERATOR_TOKEN}\r\n"
             "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -122,7 +124,7 @@
             async with asyncio.timeout(10):
                 self.assertEqual(int((await reader.readline()).split()[1]), status)
                 writer.transport.abort()
-                while any(type(candidate) is AdminConnection for candidate in gc.get_objects()):
+                while connections.count():
                     await asyncio.sleep(POLL_S)
 
     async def test_openapi_document_matches_served_operations(self) -> None:
