Bounded connections: one rule for bodies that cannot be read, and no check made twice

The listener and the administration API mapped a payload error to a status, and dropped its traceback, each by itself; both call status_of_payload_error now. wait_until_read repeated its caller's check of writing_paused, and the alias ParsedRequest was not used. Behaviour stays.

--- a/drumgw/gateway/bounded_connection.py
+++ b/drumgw/gateway/bounded_connection.py
@@ -3,8 +3,7 @@
 aiohttp's handler reads on while a response to malformed input is pending, and keeps what it has read: its
 parser holds the head so far, the request its body, and the traceback of a parser error the bytes that were
 being parsed. As the error is queued by the very method that the traceback refers to, that is a reference
-cycle, which is freed only by the garbage collector. `BoundedConnection` has a method of its own in its place:
-it
+cycle, which is freed only by the garbage collector. `BoundedConnection` replaces that method. It
 
 * reads in pieces of at most READ_BYTES,
 * rejects a head over MAX_HEAD_BYTES, and a chunked body with more than MAX_FRAMING_BYTES of framing,
@@ -55,6 +54,15 @@
         self.status = status
 
 
+def status_of_payload_error(error: RequestPayloadError) -> int:
+    """Returns the status of the response to a request whose body cannot be read, and frees the body.
+
+    The traceback of the error refers to the body and, through the future that the reader awaited, to itself.
+    """
+    error.__traceback__ = None
+    return error.status if isinstance(error, PartialRequestRejectedError) else BAD_REQUEST
+
+
 class BoundedConnection(RequestHandler):
     """aiohttp's handler of one connection, with bounds on what it keeps.
 
@@ -120,9 +128,7 @@
             self._is_over_budget = True
             self._pause_transport_reading()
 
-    def _add_requests(
-        self, messages: Sequence[tuple[RawRequestMessage, StreamReader]], byte_count: int
-    ) -> None:
+    def _add_requests(self, messages: Sequence[ParsedRequest], byte_count: int) -> None:
         """Queues requests whose heads are complete; the sizes are computed only if one may be too large."""
         is_parsed_later = not byte_count
         most_head_bytes = self._surplus_bytes + self._head_bytes + byte_count
--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -219,14 +219,13 @@
         return bool(ready) and bool(ready[0][1] & events)
 
     async def wait_until_read(self) -> None:
-        """Waits until the client has read most of the earlier responses.
+        """Waits, while `writing_paused` is set, until the client has read most of the earlier responses.
 
         Otherwise the responses to a client that sends requests but reads nothing would pile up here. The wait
         is limited by `CLIENT_IDLE_TIMEOUT_MS`, as in state READING.
         """
-        if self.writing_paused:
-            self.enter_state(ConnectionState.READING)
-            await self._drain_helper()
+        self.enter_state(ConnectionState.READING)
+        await self._drain_helper()
 
     # Called by asyncio and aiohttp
 
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -15,7 +15,7 @@
 from aiohttp.web_request import BaseRequest
 
 from drumgw.gateway import http_headers
-from drumgw.gateway.bounded_connection import PartialRequestRejectedError
+from drumgw.gateway.bounded_connection import status_of_payload_error
 from drumgw.gateway.bounded_server import BoundedServer
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
 from drumgw.gateway.clock import MS_PER_S
@@ -220,9 +220,7 @@
         except HTTPRequestEntityTooLarge as error:
             raise BadRequestError(413, "the body is too large") from error
         except RequestPayloadError as error:
-            error.__traceback__ = None  # its frames refer to the body, and to the error itself
-            status = error.status if isinstance(error, PartialRequestRejectedError) else 400
-            raise BadRequestError(status, "the body can't be read") from error
+            raise BadRequestError(status_of_payload_error(error), "the body can't be read") from error
         except ValueError as error:
             raise BadRequestError(400, "the body can't be read") from error
 
--- a/drumgw/hosting/admin_api.py
+++ b/drumgw/hosting/admin_api.py
@@ -14,7 +14,7 @@
 from aiohttp.web_protocol import RequestPayloadError
 from loguru import logger
 
-from drumgw.gateway.bounded_connection import BoundedConnection, PartialRequestRejectedError
+from drumgw.gateway.bounded_connection import BoundedConnection, status_of_payload_error
 from drumgw.gateway.process_config import MAX_HEAD_BYTES, ConfigError
 from drumgw.hosting.admin_connections import AdminAppRunner
 from drumgw.hosting.admin_handlers import HANDLERS, AdminHandlers, ApiCall, Handler, openapi_response
@@ -36,7 +36,6 @@
 MAX_BODY_BYTES = 256 * 1024
 MAX_CONCURRENT_CALLS = 16
 MAX_UNANSWERED_BYTES = MAX_CONCURRENT_CALLS * (MAX_HEAD_BYTES + MAX_BODY_BYTES)
-BAD_REQUEST = 400
 KEEP_ALIVE_S = 10.0
 LISTEN_BACKLOG = 64
 UNHANDLED_EXCEPTION_STATUS = 500
@@ -99,9 +98,9 @@
         except web.HTTPException as error:
             return problem_response(HttpStatusError(error.status, error.reason), allowed_methods(error))
         except RequestPayloadError as error:
-            error.__traceback__ = None  # its frames refer to the body, and to the error itself
-            status = error.status if isinstance(error, PartialRequestRejectedError) else BAD_REQUEST
-            return problem_response(HttpStatusError(status, "The body cannot be read"))
+            return problem_response(
+                HttpStatusError(status_of_payload_error(error), "The body cannot be read")
+            )
         except ConfigError as error:
             return problem_response(InvalidSpecError(str(error)))
         except Exception as error:
