Tests of tenant commands read standard output apart from standard error

Cause: the command runs in the test's own process, and click's runner returns standard output and standard error mixed. asyncio's debug mode logs each callback over 100 ms to standard error, so on a slow machine such a line stands before the JSON.

Change: the tests parse standard output alone, and look for an error's text in standard error alone, where standard output must be empty. A new test forces the log lines.

--- a/tests/test_hosting_admin.py
+++ b/tests/test_hosting_admin.py
@@ -10,7 +10,7 @@
 import tempfile
 import threading
 import unittest
-from typing import Any
+from typing import Any, NamedTuple
 from unittest import mock
 
 from click.testing import CliRunner
@@ -286,11 +286,21 @@
         self.assertEqual((await self.call("GET", "/v1/tenants/t1")).status, 200)
 
 
+class CommandResult(NamedTuple):
+    """What a command left: its exit code and both of its outputs."""
+
+    exit_code: int
+    stdout: str
+    stderr: str
+
+
 class TenantCommands(HostCase):
     """The command `drumgw tenants` against a running host."""
 
-    async def run_tenants(self, *arguments: str, body: Any = None) -> tuple[int, str]:
-        """Runs `drumgw tenants` with the operator's token; returns its exit code and output.
+    async def run_tenants(self, *arguments: str, body: Any = None) -> CommandResult:
+        """Runs `drumgw tenants` with the operator's token.
+
+        Standard error also has what asyncio logs in this process meanwhile.
 
         Args:
             arguments: follow the option --api.
@@ -303,27 +313,37 @@
             None if body is None else json.dumps(body),
             {"DRUMGW_TOKEN": OPERATOR_TOKEN},
         )
-        return result.exit_code, result.output
+        return CommandResult(result.exit_code, result.stdout, result.stderr)
 
     async def test_commands_administer_tenants(self) -> None:
         host_process = await self.start_host(await self.tenant("t1"))
         tenant = await self.tenant("t2")
         run = self.run_tenants
-        self.assertEqual(await run("list"), (0, "t1  active  1\n"))
-        self.assertEqual((await run("create", "-", body=tenant))[0], 0)
+        self.assertEqual((await run("list"))[:2], (0, "t1  active  1\n"))
+        self.assertEqual((await run("create", "-", body=tenant)).exit_code, 0)
         await self.wait_until_ready()
-        code, output = await run("create", "-", body=tenant)
-        self.assertEqual((code, "Name already in use" in output), (1, True))
-        self.assertEqual((await run("replace", "t2", "-", "--part", "limits", body={"submissions": 2}))[0], 0)
+        refused = await run("create", "-", body=tenant)
+        self.assertEqual((refused.exit_code, refused.stdout), (1, ""))
+        self.assertIn("Name already in use", refused.stderr)
+        replaced = await run("replace", "t2", "-", "--part", "limits", body={"submissions": 2})
+        self.assertEqual(replaced.exit_code, 0)
         await self.wait_until_ready()
         config = host_process.services.services["t2"].gateway_service.config
         self.assertEqual(config.settings.max_attempts, 2)
         for arguments in (("suspend", "t2"), ("resume", "t2"), ("show", "t2", "--use"), ("show", "t2")):
-            self.assertEqual((await run(*arguments))[0], 0, arguments)
-        code, output = await run("remove", "t2", "--wait", "10")
-        self.assertEqual((code, json.loads(output)["state"]), (0, "done"))
-        self.assertEqual(await run("list"), (0, "t1  active  1\n"))
-        self.assertEqual((await run("show", "t2"))[0], 1)
+            self.assertEqual((await run(*arguments)).exit_code, 0, arguments)
+        removed = await run("remove", "t2", "--wait", "10")
+        self.assertEqual((removed.exit_code, json.loads(removed.stdout)["state"]), (0, "done"))
+        self.assertEqual((await run("list"))[:2], (0, "t1  active  1\n"))
+        self.assertEqual((await run("show", "t2")).exit_code, 1)
+
+    async def test_what_asyncio_logs_meanwhile_is_not_taken_for_output(self) -> None:
+        """Guards against a test that fails on a slow machine, as asyncio then logs callbacks over 100 ms."""
+        await self.start_host(await self.tenant("t1"))
+        asyncio.get_running_loop().slow_callback_duration = 0.0  # seconds
+        listed = await self.run_tenants("list")
+        self.assertEqual((listed.exit_code, listed.stdout), (0, "t1  active  1\n"))
+        self.assertIn("Executing", listed.stderr)
 
 
 class HostFileCheck(unittest.TestCase):
