Requests behind an offer to upgrade are read like any other

What callers saw: behind a request with "Upgrade: websocket", a request whose body was larger than a head may be got 431, and a head of more than 16 KB got 200.

Cause: aiohttp sets the bytes behind such a request aside and parses them after its response, in a method of its own. The connection's own counts of heads and bodies did not learn of them. The bytes set aside were not counted either.

Change: a gateway never changes the protocol, so the offer is declined as soon as its request has been parsed, and the bytes behind it are parsed at once.

--- a/drumgw/gateway/bounded_connection.py
+++ b/drumgw/gateway/bounded_connection.py
@@ -103,30 +103,43 @@
         """
         if self._has_stopped_reading or self._force_close or self._close:
             return
-        if self._upgraded:
-            super().data_received(data)
-            self._check_partial_head(len(data))
-            return
+        unparsed = self._parse(data, len(data))
+        while unparsed:
+            unparsed = self._parse(unparsed, 0)
+
+    def _parse(self, data: bytes, received_bytes: int) -> bytes:
+        """Parses bytes up to the end, or up to the end of a request that offers to upgrade the connection.
+
+        Such an offer is declined at once, as what follows it is a further request.
+
+        Args:
+            data: The bytes.
+            received_bytes: Those that the budget does not know of yet.
+
+        Returns:
+            The bytes that are still to be parsed.
+        """
         assert self._parser is not None
-        byte_count = len(data)
         is_in_body = not self._last_payload.is_eof()
         try:
-            messages, self._upgraded, tail = self._parser.feed_data(data)
+            messages, is_upgrade_offered, unparsed = self._parser.feed_data(data)
         except HttpProcessingError:
             self._reject(BAD_REQUEST)
-            return
+            return b""
         if messages:
-            self._add_requests(messages, byte_count)
-            byte_count += PARSED_HEAD_BYTES * len(messages)
+            self._add_requests(messages, len(data))
+            received_bytes += PARSED_HEAD_BYTES * len(messages)
         elif data and is_in_body:
-            self._check_partial_body(byte_count)
+            self._check_partial_body(len(data))
         elif data:
-            self._check_partial_head(byte_count)
-        if tail:
-            self._message_tail = tail
-        if not self._budget.receive(self, byte_count):
+            self._check_partial_head(len(data))
+        if not self._budget.receive(self, received_bytes):
             self._is_over_budget = True
             self._pause_transport_reading()
+        if not is_upgrade_offered or self._has_stopped_reading:
+            return b""
+        self._parser.set_upgraded(False)
+        return unparsed
 
     def _add_requests(self, messages: Sequence[ParsedRequest], byte_count: int) -> None:
         """Queues requests whose heads are complete; the sizes are computed only if one may be too large."""
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -25,7 +25,7 @@
 )
 from tests.live_objects import LiveObjects
 from tests.race_case import GatewaySubprocess, RaceCase, wait_until
-from tests.scripted_server import http_response
+from tests.scripted_server import http_response, read_message
 
 MEMORY_LIMIT_MB = 192
 """The largest memory limit that the operators name for a gateway."""
@@ -176,6 +176,39 @@
             [line.split()[1] for line in answers.split(b"\r\n") if b"HTTP/1.1" in line], [b"200", b"431"]
         )
 
+    async def test_requests_behind_an_offer_to_upgrade_are_answered_like_others(self) -> None:
+        """Regression: a large body behind an offer to upgrade was taken for a head, and rejected with 431."""
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        offers = [
+            http_request(Connection="Upgrade", Upgrade="websocket", Request_Id=f"{n}") for n in range(100)
+        ]
+        post = http_request(POST_TARGET, "POST", 50_000 * b"y", Request_Id="post")
+        next_post = http_request(POST_TARGET, "POST", 50_000 * b"y", Request_Id="next-post")
+        too_large = http_request(X_Note=8000 * "y", X_More=8000 * "y", X_Rest=999 * "y")
+        ok = b"200"
+        for pieces, statuses in (
+            ((offers[0], post), [ok, ok]),
+            ((offers[0] + post[:500], post[500:20_000], post[20_000:]), [ok, ok]),
+            ((offers[0] + post + next_post[:500], next_post[500:]), [ok, ok, ok]),
+            ((b"".join(offers),), 100 * [ok]),
+            ((offers[0] + b"noise\r\n\r\n",), [ok, b"400"]),
+            ((offers[0] + too_large,), [ok, b"431"]),
+            ((offers[0] + too_large[:500], too_large[500:12_000], too_large[12_000:-2]), [ok, b"431"]),
+        ):
+            with self.subTest(pieces=[len(piece) for piece in pieces], statuses=statuses[:3]):
+                self.assertEqual(await self.statuses_of(pieces, len(statuses)), statuses)
+
+    async def statuses_of(self, pieces: tuple[bytes, ...], count: int) -> list[bytes]:
+        """Sends the pieces one by one, and returns the statuses of as many responses."""
+        reader, writer = await self.connect()
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.02)
+        async with asyncio.timeout(5):
+            heads = [(await read_message(reader))[0] for _ in range(count)]
+        return [head.split()[1] for head in heads]
+
     async def test_a_body_may_come_in_small_chunks_but_not_with_endless_framing(self) -> None:
         endpoint = await self.start_server(http_response(b"ok"))
         await self.open_gateway(endpoint.address)
