Administration API: a caller that leaves in the middle of a body is freed at once

What operators saw: the log of an internal error with its traceback for each such caller, so that callers could flood the log, and status 500 in the audit line.

Change: the traceback is dropped where the body is read, and the error has a type of its own; the audit line says 499.

--- a/drumgw/hosting/admin_handlers.py
+++ b/drumgw/hosting/admin_handlers.py
@@ -16,6 +16,7 @@
 from drumgw.hosting.authentication import OPERATOR_ONLY_KEYS, ApiToken, Permission, Role
 from drumgw.hosting.errors import (
     BodyTimeoutError,
+    CallerDisconnectedError,
     FieldError,
     MalformedBodyError,
     OperationNotFoundError,
@@ -219,13 +220,17 @@
     """Returns the parsed body of a request.
 
     Raises:
-        ApiError: the body took longer than BODY_TIMEOUT_S, its Content-Type is wrong, or it is not JSON.
+        ApiError: the body took longer than BODY_TIMEOUT_S, the caller disconnected, the Content-Type is
+            wrong, or the body is not JSON.
     """
     try:
         async with asyncio.timeout(BODY_TIMEOUT_S):
             text = await request.read()
     except TimeoutError as error:
         raise BodyTimeoutError from error
+    except ConnectionError as error:
+        error.__traceback__ = None  # would refer to the body, which keeps the error
+        raise CallerDisconnectedError from None
     if request.content_type != "application/json":
         raise UnsupportedMediaTypeError
     try:
--- a/drumgw/hosting/errors.py
+++ b/drumgw/hosting/errors.py
@@ -123,6 +123,16 @@
         super().__init__("the request body was not received within the time limit")
 
 
+class CallerDisconnectedError(ApiError):
+    """The caller closed its connection before its body was complete; only the audit log has the status."""
+
+    status = 499  # not a registered status, but the one that servers usually log for this
+    title = "Caller disconnected"
+
+    def __init__(self) -> None:
+        super().__init__("the connection was closed before the request body was complete")
+
+
 class UnsupportedMediaTypeError(ApiError):
     """The Content-Type is not application/json."""
 
--- a/tests/test_hosting_admin.py
+++ b/tests/test_hosting_admin.py
@@ -102,6 +102,30 @@
             await asyncio.sleep(POLL_S)
         self.assertEqual((await self.call("GET", "/v1/tenants")).status, 200)
 
+    async def test_a_caller_that_disconnects_in_a_body_leaves_one_audit_line_and_no_memory(self) -> None:
+        """Regression: each left the log of an internal error, so that callers could flood the log."""
+        await self.start_host(await self.tenant("t1"))
+        log = self.log_lines()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        connections = LiveObjects(AdminConnection)
+        for body in (b"", b"{", 1000 * b" "):
+            _, writer = await asyncio.open_connection(*self.api)
+            writer.write(
+                f"POST /v1/tenants HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {OPERATOR_TOKEN}\r\n"
+                "Content-Type: application/json\r\nContent-Length: 9999\r\n\r\n".encode()
+                + body
+            )
+            while not self.host_process.api.open_call_count:
+                await asyncio.sleep(POLL_S)
+            writer.transport.abort()
+            async with asyncio.timeout(10):
+                while self.host_process.api.open_call_count or connections.count():
+                    await asyncio.sleep(POLL_S)
+        lines = [line.strip() for line in log if not line.startswith("process stalled")]
+        self.assertEqual(lines, 3 * ["audit: ops asked to create : 499"])
+
     async def test_calls_that_cannot_be_read_are_rejected_and_leave_nothing_behind(self) -> None:
         """Regression: the error of a head that never ends kept what was read until the next collection."""
         await self.start_host(await self.tenant("t1"))
