Hosts collect their garbage before they exempt objects from collection

The settings of the garbage collector stood twice. A gateway collected first; a host did not, so garbage of its start was exempted too and never freed.

Change: one function in a module of its own, used by both.

--- a/drumgw/gateway/process.py
+++ b/drumgw/gateway/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import signal
 from collections.abc import Callable, Sequence
 from functools import partial
@@ -11,6 +10,7 @@
 from loguru import logger
 
 from drumgw.gateway.clock import MonotonicClock, StallAwareClock
+from drumgw.gateway.garbage_collection import tune_garbage_collector
 from drumgw.gateway.http_server import HttpServer
 from drumgw.gateway.invariants import violations
 from drumgw.gateway.membership import MAX_START_WAIT_MS
@@ -21,8 +21,6 @@
 SHUTDOWN_LINGER_MS = 700.0
 """How long new clients may still connect after SIGTERM (protocol)."""
 SERVER_SHUTDOWN_TIMEOUT_S = 0.1
-GC_THRESHOLD = 20000
-"""Net allocations between two garbage collections. High, as requests create few reference cycles."""
 
 ReadConfig = Callable[[], GatewayConfig]
 
@@ -142,7 +140,7 @@
     if await _open_unless_stopped(gateway):
         if early_sighups:
             gateway.reload(reread_config)
-        _tune_garbage_collector()
+        tune_garbage_collector()
         await gateway.stop_requested.wait()
         await gateway.close()
     else:
@@ -165,10 +163,3 @@
         return False
     opening.result()  # raises the error of a failed start
     return True
-
-
-def _tune_garbage_collector() -> None:
-    """Exempts all existing objects from collection, as most are never freed, and lowers its frequency."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
--- a/drumgw/hosting/host_process.py
+++ b/drumgw/hosting/host_process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import signal
 from collections.abc import Callable
 
@@ -11,7 +10,8 @@
 
 from drumgw.config.host_file import HostFile
 from drumgw.gateway.clock import MonotonicClock, StallAwareClock
-from drumgw.gateway.process import GC_THRESHOLD, SHUTDOWN_LINGER_MS
+from drumgw.gateway.garbage_collection import tune_garbage_collector
+from drumgw.gateway.process import SHUTDOWN_LINGER_MS
 from drumgw.gateway.process_config import (
     RESERVED_DESCRIPTORS,
     ConfigError,
@@ -126,8 +126,7 @@
         await host_process.api.close()
         await host_process.services.close()
         raise
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
+    tune_garbage_collector()
     await host_process.stop_requested.wait()
     await host_process.close()
     ignore_signals()
