Test of a late second response does not depend on the speed of the machine

Seen to fail once on an overloaded machine. Cause, forced: with 30 ms between the first response and the next request, the reuse delay of 10 ms is over, the connection is reused, and the test waits for a second one in vain (1 of 1).

Change: the test prolongs the delay a thousandfold, so that its steps fall within it. With a delay of 0 it fails as before.

--- a/tests/test_attempt_races.py
+++ b/tests/test_attempt_races.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest import mock
 
+from drumgw.gateway import connection_pool
 from tests.gateway_case import (
     POST_TARGET,
     http_request,
@@ -184,8 +185,11 @@
         """The next request on a kept connection must not get the second response to the previous one.
 
         That happened if the second response arrived after the check for unread bytes on the kept connection
-        and before the next request's own response.
+        and before the next request's own response. The reuse delay is prolonged, so that
+        each step of the test falls within it on a slow machine too.
         """
+        prolonged_ms = 1000 * connection_pool.REUSE_DELAY_MS
+        self.enterContext(mock.patch.object(connection_pool, "REUSE_DELAY_MS", prolonged_ms))
         peer = self.peer()
         await self.open_gateway(peer.address)
         first, second = self.open_client(), self.open_client()
