Bounded servers take the factory of their connections; two subclasses go

The server of clients and that of the administration API were subclasses only to create their kind of connection, one of them by a factory that was set after the server's construction. Behaviour is as before.

--- a/drumgw/gateway/bounded_server.py
+++ b/drumgw/gateway/bounded_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
 from aiohttp.web_server import Server
@@ -16,26 +17,31 @@
 
     Args:
         arguments: The arguments of aiohttp's server.
+        connection_factory: Creates the handler of a connection from the budget, the server and the options
+            of aiohttp's handler.
         max_unanswered_bytes: Limit on the bytes received for requests without a response.
 
     Attributes:
         budget: Counts the bytes received on all connections.
     """
 
-    def __init__(self, *arguments: Any, max_unanswered_bytes: int, **options: Any) -> None:
+    def __init__(
+        self,
+        *arguments: Any,
+        connection_factory: Callable[..., BoundedConnection],
+        max_unanswered_bytes: int,
+        **options: Any,
+    ) -> None:
         super().__init__(*arguments, **options)
         self.budget = ReceiveBudget(
             max_unanswered_bytes, lambda: cast(list[BoundedConnection], self.connections)
         )
+        self._connection_factory = connection_factory
         self._read_buffer = memoryview(bytearray(READ_BYTES))
 
-    def create_connection(self, **options: Any) -> BoundedConnection:
-        """Returns the handler of a new connection; subclasses may return another kind."""
-        return BoundedConnection(self.budget, self, **options)
-
     def __call__(self) -> BoundedReader:  # type: ignore[override]
         """Returns the protocol of a new connection; called by asyncio."""
-        connection = self.create_connection(loop=self._loop, **self._kwargs)
+        connection = self._connection_factory(self.budget, self, loop=self._loop, **self._kwargs)
         return BoundedReader(connection, self._read_buffer)
 
 
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -35,20 +34,6 @@
 More than one, as a connection accepted in one event-loop iteration becomes known only in the next."""
 
 
-class ConnectionServer(BoundedServer):
-    """A server whose connections are `ClientConnection` objects.
-
-    Attributes:
-        connection_factory: Creates the handler of a connection; set before the server is started.
-    """
-
-    connection_factory: Callable[..., ClientConnection]
-
-    def create_connection(self, **options: Any) -> ClientConnection:
-        """Returns the handler of a new connection."""
-        return self.connection_factory(self.budget, self, **options)
-
-
 class ServingService(NamedTuple):
     """The parts of a service that the listener needs to forward a request."""
 
@@ -84,8 +69,9 @@
         self.is_shutting_down = False
         self.open_request_ids: set[str] = set()
         self.socket: asyncio.Server | None = None
-        self.server = ConnectionServer(
+        self.server = BoundedServer(
             self.handle,
+            connection_factory=partial(ClientConnection, self.limits, dispatcher.log_internal_error),
             max_unanswered_bytes=config.max_unanswered_bytes,
             handler_cancellation=True,
             request_factory=self._make_request,
@@ -94,7 +80,6 @@
             lingering_time=0.0,
             tcp_keepalive=False,
         )
-        self.server.connection_factory = partial(ClientConnection, self.limits, dispatcher.log_internal_error)
 
     async def bind(self) -> None:
         """Binds the listen address without listening: connections are refused until `open`.
--- a/drumgw/hosting/admin_connections.py
+++ b/drumgw/hosting/admin_connections.py
@@ -30,14 +30,6 @@
         return response
 
 
-class AdminServer(BoundedServer):
-    """A server whose connections are `AdminConnection` objects."""
-
-    def create_connection(self, **options: Any) -> AdminConnection:
-        """Returns the handler of a new connection."""
-        return AdminConnection(self.budget, self, **options)
-
-
 class AdminAppRunner(web.AppRunner):
     """Serves an application on bounded connections.
 
@@ -53,10 +45,11 @@
         super().__init__(app, **options)
         self._max_unanswered_bytes = max_unanswered_bytes
 
-    async def _make_server(self) -> AdminServer:
+    async def _make_server(self) -> BoundedServer:
         server = await super()._make_server()
-        return AdminServer(
+        return BoundedServer(
             server.request_handler,
+            connection_factory=AdminConnection,
             max_unanswered_bytes=self._max_unanswered_bytes,
             request_factory=server.request_factory,
             handler_cancellation=server.handler_cancellation,
