Bounded connections: one handler of unreadable requests, two kinds of error response

The connections of clients and of the administration API overrode aiohttp's handle_error alike: an error response that closes the connection, not logged. That stands in their common base now; they give the response alone. Behaviour is as before.

--- a/drumgw/gateway/bounded_connection.py
+++ b/drumgw/gateway/bounded_connection.py
@@ -20,6 +20,8 @@
 from aiohttp.http_exceptions import BadHttpMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
 from drumgw.gateway.process_config import MAX_HEAD_BYTES
@@ -199,6 +201,24 @@
             self._last_payload.set_exception(PartialRequestRejectedError(status))
         return True
 
+    # Error responses
+
+    def error_response(self, status: int) -> StreamResponse:
+        """Returns the response to a request that cannot be parsed."""
+        raise NotImplementedError
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> StreamResponse:
+        """Answers a request that aiohttp cannot parse. Not logged: clients could flood the log with them."""
+        response = self.error_response(status)
+        response.force_close()
+        return response
+
     # Called by the budget
 
     def is_receiving_request(self) -> bool:
--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -22,7 +22,6 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from aiohttp.web_request import BaseRequest
 from aiohttp.web_server import Server
 
 from drumgw.gateway.bounded_connection import BoundedConnection
@@ -246,17 +245,9 @@
             self.enter_state(ConnectionState.READING)
         super().data_received(data)
 
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> CompleteResponse:
-        """Answers a request that aiohttp cannot parse. Not logged: clients could flood the log with them."""
-        response = CompleteResponse(status)
-        response.force_close()
-        return response
+    def error_response(self, status: int) -> CompleteResponse:
+        """Returns a response without a body."""
+        return CompleteResponse(status)
 
     def log_exception(self, *args: Any, exc_info: Any = None, **kwargs: Any) -> None:
         """Reports an error that aiohttp logs for this connection through the gateway's own log."""
--- a/drumgw/hosting/admin_connections.py
+++ b/drumgw/hosting/admin_connections.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.web_request import BaseRequest
 
 from drumgw.gateway.bounded_connection import BoundedConnection
 from drumgw.gateway.bounded_server import BoundedServer
@@ -17,17 +16,9 @@
 class AdminConnection(BoundedConnection):
     """The connection of a caller."""
 
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answers a call that aiohttp cannot parse. Not logged: callers could flood the log with them."""
-        response = problem_response(HttpStatusError(status, HTTPStatus(status).phrase))
-        response.force_close()
-        return response
+    def error_response(self, status: int) -> web.Response:
+        """Returns problem details."""
+        return problem_response(HttpStatusError(status, HTTPStatus(status).phrase))
 
 
 class AdminAppRunner(web.AppRunner):
