--- a/tests/flood_clients.py
+++ b/tests/flood_clients.py
@@ -44,6 +44,7 @@
 GET_LINE = b"GET /a?account=00000000b4d65521 HTTP/1.1\r\n"
 POST_HEAD = b"POST /b?account=00000000b4d65521 HTTP/1.1\r\n" + USUAL_HEADERS
 LARGE_HEADER = b"X-Note-%d: " + 8000 * b"y" + b"\r\n"
+HEADERS_PER_BLOCK = 8
 PARTIAL_HEAD_HEADERS = 100
 LARGE_BODY_BYTES = 60_000
 PIPELINED_PER_BLOCK = 200
@@ -60,6 +61,9 @@
 def blocks(flood: Flood) -> Iterator[bytes]:
     """Yields what one connection sends, in order; without end unless the client stops halfway."""
     numbers = itertools.count()
+    endless_headers = (
+        b"".join(LARGE_HEADER % next(numbers) for _ in range(HEADERS_PER_BLOCK)) for _ in itertools.count()
+    )
     filler = BLOCK_BYTES * b"y"
     chunked_head = _request(POST_HEAD + b"Transfer-Encoding: chunked\r\n")
     if flood is Flood.REQUEST_LINE:
@@ -70,12 +74,9 @@
         yield from itertools.repeat(filler)
     elif flood is Flood.HEADERS:
         yield GET_LINE + USUAL_HEADERS
-        yield from (b"".join(LARGE_HEADER % next(numbers) for _ in range(8)) for _ in itertools.count())
+        yield from endless_headers
     elif flood is Flood.BODY:
-        yield POST_HEAD + b"Request-Id: f%x\r\nContent-Length: %d\r\n\r\n" % (
-            next(_request_numbers),
-            BODY_BYTES,
-        )
+        yield _request(POST_HEAD + b"Content-Length: %d\r\n" % BODY_BYTES)
         yield from itertools.repeat(filler, BODY_BYTES // BLOCK_BYTES)
     elif flood is Flood.CHUNKS:
         yield chunked_head
@@ -88,7 +89,7 @@
         yield from itertools.repeat(filler)
     elif flood is Flood.TRAILERS:
         yield chunked_head + b"1\r\ny\r\n0\r\n"
-        yield from (b"".join(LARGE_HEADER % next(numbers) for _ in range(8)) for _ in itertools.count())
+        yield from endless_headers
     elif flood in (Flood.PIPELINE, Flood.UNREAD_PIPELINE):
         while True:
             yield b"".join(_request(GET_LINE + USUAL_HEADERS) for _ in range(PIPELINED_PER_BLOCK))
--- a/tests/gateway_case.py
+++ b/tests/gateway_case.py
@@ -25,7 +25,6 @@
 GET_TARGET = "/a/x%7e//y?account=00000000b4d65521&q=%20+%2F"
 ENDLESS_WARM_UP = {**OPTIONS["contract"], "coldMs": float("inf")}
 POST_TARGET = "/b?account=00000000b4d65521"
-EMPTY_LIST = http_response(json.dumps({"generation": 1, "reset": True, "instances": []}).encode())
 
 
 def endpoint_row(name: str, address: str, state: str = "up", **more: Any) -> dict[str, Any]:
@@ -43,6 +42,14 @@
     }
 
 
+def list_response(*rows: dict[str, Any]) -> bytes:
+    """Returns discovery's response with the whole endpoint list."""
+    return http_response(json.dumps({"generation": 1, "reset": True, "instances": rows}).encode())
+
+
+EMPTY_LIST = list_response()
+
+
 def raw_settings(**more: Any) -> dict[str, Any]:
     """Returns the platform's settings, with two request classes and a plan with wide limits."""
     ceilings = {
@@ -105,9 +112,7 @@
     async def open_gateway(self, *addresses: str, watch: Any = None, **more: Any) -> GatewayProcess:
         """Opens a gateway whose endpoints have these addresses; `watch` answers discovery's watch calls."""
         instances = [endpoint_row(f"s-{n}", address) for n, address in enumerate(addresses)]
-        full_list = http_response(
-            json.dumps({"generation": 1, "reset": True, "instances": instances}).encode()
-        )
+        full_list = list_response(*instances)
 
         def answer_discovery(head: bytes, body: bytes) -> Any:
             return full_list if b"since=" not in head else watch(head, body) if callable(watch) else watch
--- a/tests/hosting_harness.py
+++ b/tests/hosting_harness.py
@@ -15,7 +15,7 @@
 from drumgw.config.host_file import HostFile
 from drumgw.hosting.authentication import hash_token
 from drumgw.hosting.host_process import HostProcess
-from tests.gateway_case import GatewayCase, endpoint_row
+from tests.gateway_case import GatewayCase, endpoint_row, list_response
 from tests.scripted_server import ScriptedServer, http_response, read_message
 
 OPERATOR_TOKEN = "operator-token"
@@ -66,10 +66,7 @@
         By default the endpoint responds with the tenant's name.
         """
         endpoint = await self.start_server(http_response(name.encode()) if answer is None else answer)
-        rows = [endpoint_row("s-0", endpoint.address)]  # the same id for all tenants
-        endpoint_list = http_response(
-            json.dumps({"generation": 1, "reset": True, "instances": rows}).encode()
-        )
+        endpoint_list = list_response(endpoint_row("s-0", endpoint.address))  # the same id for all tenants
         discovery = await self.start_server(
             lambda head, body: endpoint_list if b"since=" not in head else None
         )
--- a/tests/live_objects.py
+++ b/tests/live_objects.py
@@ -1,8 +1,12 @@
-"""Counts the objects of a class that exist, also those that only the garbage collector would free."""
+"""Counts the objects of a class that exist, also those that only the garbage collector would free.
+
+It counts them while the collector is off; otherwise a test would pass by chance.
+"""
 
 from __future__ import annotations
 
 import gc
+import unittest
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +15,13 @@
     return [candidate for candidate in gc.get_objects() if type(candidate) is kind]
 
 
+def stop_garbage_collector(test: unittest.TestCase) -> None:
+    """Collects the garbage that exists, and turns the collector off until the end of the test."""
+    gc.collect()
+    gc.disable()
+    test.addCleanup(gc.enable)
+
+
 class LiveObjects:
     """The objects of a class that were created after this object.
 
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import json
 import socket
 import sys
 from pathlib import Path
@@ -20,10 +18,11 @@
     POST_TARGET,
     endpoint_row,
     http_request,
+    list_response,
     load_config,
     raw_config,
 )
-from tests.live_objects import LiveObjects
+from tests.live_objects import LiveObjects, stop_garbage_collector
 from tests.race_case import GatewaySubprocess, RaceCase, wait_until
 from tests.scripted_server import http_response, read_message
 
@@ -48,9 +47,8 @@
         """Returns the most memory of a gateway while clients flood it."""
         endpoint = await self.start_server(http_response(b"ok"))
         rows = [endpoint_row("s", endpoint.address)]
-        endpoint_list = json.dumps({"generation": 1, "reset": True, "instances": rows}).encode()
         agent = await self.start_server(
-            lambda head, body: None if b"since=" in head else http_response(endpoint_list)
+            lambda head, body: None if b"since=" in head else list_response(*rows)
         )
         limits = {"sockets": 1024, "memory_mb": MEMORY_LIMIT_MB}
         gateway = await GatewaySubprocess.start(raw_config(agent.address, rows, limits=limits))
@@ -89,9 +87,7 @@
     """What was received is freed when its connection ends, not when the garbage collector runs."""
 
     def setUp(self) -> None:
-        gc.collect()
-        gc.disable()
-        self.addCleanup(gc.enable)
+        stop_garbage_collector(self)
 
     async def send_until_closed(self, flood: Flood) -> None:
         """Sends until the gateway reads no more, and closes the connection."""
@@ -142,13 +138,19 @@
 class RequestSizeTest(RaceCase):
     """Limits on heads and on the framing of bodies."""
 
-    async def status_of(self, *pieces: bytes) -> bytes:
-        """Sends the pieces one by one, and returns the status of the response."""
-        connection = self.open_client()
+    async def statuses_of(self, pieces: tuple[bytes, ...], count: int) -> list[bytes]:
+        """Sends the pieces one by one, and returns the statuses of as many responses."""
+        reader, writer = await self.connect()
         for piece in pieces:
-            connection.write(piece)
+            writer.write(piece)
             await asyncio.sleep(0.02)
-        return (await connection.read(b"\r\n\r\n")).split()[1]
+        async with asyncio.timeout(5):
+            heads = [(await read_message(reader))[0] for _ in range(count)]
+        return [head.split()[1] for head in heads]
+
+    async def status_of(self, *pieces: bytes) -> bytes:
+        """Sends the pieces one by one, and returns the status of the response."""
+        return (await self.statuses_of(pieces, 1))[0]
 
     async def test_the_size_of_a_head_is_limited_however_it_arrives(self) -> None:
         endpoint = await self.start_server(http_response(b"ok"))
@@ -199,16 +201,6 @@
             with self.subTest(pieces=[len(piece) for piece in pieces], statuses=statuses[:3]):
                 self.assertEqual(await self.statuses_of(pieces, len(statuses)), statuses)
 
-    async def statuses_of(self, pieces: tuple[bytes, ...], count: int) -> list[bytes]:
-        """Sends the pieces one by one, and returns the statuses of as many responses."""
-        reader, writer = await self.connect()
-        for piece in pieces:
-            writer.write(piece)
-            await asyncio.sleep(0.02)
-        async with asyncio.timeout(5):
-            heads = [(await read_message(reader))[0] for _ in range(count)]
-        return [head.split()[1] for head in heads]
-
     async def test_a_body_may_come_in_small_chunks_but_not_with_endless_framing(self) -> None:
         endpoint = await self.start_server(http_response(b"ok"))
         await self.open_gateway(endpoint.address)
--- a/tests/test_hosting_admin.py
+++ b/tests/test_hosting_admin.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import pathlib
 import re
@@ -25,7 +24,7 @@
 from drumgw.hosting.registry_persistence import registry_to_json
 from drumgw.hosting.state_file import StateFile
 from tests.hosting_harness import OPERATOR_TOKEN, PLANS, POLL_S, TENANT_TOKEN, HostCase
-from tests.live_objects import LiveObjects
+from tests.live_objects import LiveObjects, stop_garbage_collector
 
 
 class ValidationAndLimits(HostCase):
@@ -106,9 +105,7 @@
         """Regression: each left the log of an internal error, so that callers could flood the log."""
         await self.start_host(await self.tenant("t1"))
         log = self.log_lines()
-        gc.collect()
-        gc.disable()
-        self.addCleanup(gc.enable)
+        stop_garbage_collector(self)
         connections = LiveObjects(AdminConnection)
         for body in (b"", b"{", 1000 * b" "):
             _, writer = await asyncio.open_connection(*self.api)
@@ -129,9 +126,7 @@
     async def test_calls_that_cannot_be_read_are_rejected_and_leave_nothing_behind(self) -> None:
         """Regression: the error of a head that never ends kept what was read until the next collection."""
         await self.start_host(await self.tenant("t1"))
-        gc.collect()
-        gc.disable()
-        self.addCleanup(gc.enable)
+        stop_garbage_collector(self)
         connections = LiveObjects(AdminConnection)
         post = (
             f"POST /v1/tenants HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {OPERATOR_TOKEN}\r\n"
--- a/tests/test_process_races.py
+++ b/tests/test_process_races.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 from typing import Any
 
 from tests.gateway_case import (
     endpoint_row,
     http_request,
+    list_response,
     raw_config,
     raw_settings,
 )
@@ -52,10 +52,9 @@
         held_response: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         endpoint, counter = await self.start_server(lambda head, body: held_response), self.peer()
         row = endpoint_row("s-0", endpoint.address)
-        list_response = http_response(
-            json.dumps({"generation": 1, "reset": True, "instances": [row]}).encode()
+        discovery = await self.start_server(
+            lambda head, body: None if b"since=" in head else list_response(row)
         )
-        discovery = await self.start_server(lambda head, body: None if b"since=" in head else list_response)
         family = {"counter": True, "countWaitMs": 30.0, "unitsTop": 9}
         gateway = await GatewaySubprocess.start(
             raw_config(
