The time of a pipelined request counts from its arrival, not from its handling

What callers saw: a request that a client sends behind another one on its connection got its whole Request-Timeout again when the first had its response, so its endpoint was told too much time and the client was answered after its deadline, or not while it waited.

Cause: Dispatcher.submit counted the time left from its own call. aiohttp handles the requests of a connection one after another, so a request waits in its queue, or unparsed in its parser, for as long as the earlier ones are in flight.

Change: ClientConnection records the arrival of each request with the read that completes it; a body's last byte counts, not its head. Requests that the parser holds back have the arrival of the last request parsed before them, which is the same or earlier. The dispatcher deducts what has passed since then.

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -71,6 +71,8 @@
         state_since_ms: When the connection entered the current state.
         tenant_key: The tenant of its last request if the listener serves several tenants, else empty.
         socket_transport: The transport. aiohttp drops its own reference before the transport is closed.
+        request_arrived_at_ms: When the last byte of the request that is being handled arrived, or earlier if
+            that is uncertain.
         close_was_deferred: Whether, in the current state, the connection was already kept open once because
             of unread bytes.
     """
@@ -81,9 +83,12 @@
         "tenant_key",
         "socket_transport",
         "close_was_deferred",
+        "request_arrived_at_ms",
         "_registry",
         "_log_internal_error",
         "_poll",
+        "_queued_arrivals_ms",
+        "_last_arrival_ms",
     )
 
     def __init__(
@@ -100,9 +105,12 @@
         self.tenant_key = ""
         self.socket_transport: asyncio.Transport | None = None
         self.close_was_deferred = False
+        self.request_arrived_at_ms = self.state_since_ms
         self._registry = registry
         self._log_internal_error = log_internal_error
         self._poll: select.poll | None = None  # created when the socket is polled first
+        self._queued_arrivals_ms: list[float] = []  # one for each request in aiohttp's queue
+        self._last_arrival_ms = self.state_since_ms
 
     def enter_state(self, state: ConnectionState) -> None:
         """Changes the state; has no effect once the connection is closed."""
@@ -226,6 +234,38 @@
         self.enter_state(ConnectionState.READING)
         await self._drain_helper()
 
+    # Arrival of requests
+
+    def start_request(self) -> None:
+        """Sets the arrival time of the request that aiohttp has taken from its queue."""
+        if self._queued_arrivals_ms:
+            self.request_arrived_at_ms = self._queued_arrivals_ms.pop(0)
+
+    def _parse(self, data: bytes, received_bytes: int) -> bytes:
+        """Parses bytes, and records the arrival of the requests that they complete."""
+        body = self._last_payload
+        was_in_body = not body.is_eof()
+        has_unparsed_requests = self._buffer_paused or not data
+        unparsed = super()._parse(data, received_bytes)
+        is_body_complete = was_in_body and body.is_eof()
+        request_count = len(self._messages) - len(self._queued_arrivals_ms)
+        if is_body_complete or request_count > 0:
+            if not has_unparsed_requests:  # else they have arrived with the last request, or later
+                self._last_arrival_ms = self._arrival_ms()
+            self._record_arrival(is_body_complete, request_count)
+        return unparsed
+
+    def _record_arrival(self, is_body_complete: bool, request_count: int) -> None:
+        if is_body_complete and self._queued_arrivals_ms:
+            self._queued_arrivals_ms[-1] = self._last_arrival_ms
+        elif is_body_complete:
+            self.request_arrived_at_ms = self._last_arrival_ms
+        self._queued_arrivals_ms += [self._last_arrival_ms] * request_count
+
+    def _arrival_ms(self) -> float:
+        clock = self._registry.clock
+        return clock.now() - clock.recent_stall_ms
+
     # Called by asyncio and aiohttp
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/drumgw/gateway/dispatcher.py
+++ b/drumgw/gateway/dispatcher.py
@@ -144,9 +144,9 @@
         response: asyncio.Future[SendResponse] = self.loop.create_future()
         self._is_calling_lifecycle = True
         try:
-            request.request_id, commands = self.lifecycle.request_received(
-                self._read_clock(), request.received, self.clock.recent_stall_ms
-            )
+            now = self._read_clock()
+            waited_ms = max(0.0, now - request.arrived_at_ms)
+            request.request_id, commands = self.lifecycle.request_received(now, request.received, waited_ms)
             self.pending_requests[request.request_id] = UnansweredRequest(request, response)
             self._execute(commands)
         finally:
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -176,7 +176,11 @@
         client.enter_state(ConnectionState.IN_FLIGHT)
         head = write_head(request.method, target, request._message.raw_headers, body)
         client_request = ClientRequest(
-            head, body, received, has_client_disconnected=client.has_client_disconnected
+            head,
+            body,
+            received,
+            client.request_arrived_at_ms,
+            has_client_disconnected=client.has_client_disconnected,
         )
         open_request_ids.add(request_id)
         try:
@@ -210,6 +214,7 @@
             raise BadRequestError(400, "the body can't be read") from error
 
     def _make_request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
+        protocol.start_request()
         return BaseRequest(
             message, payload, protocol, writer, task, self.dispatcher.loop, client_max_size=MAX_BODY_BYTES
         )
--- a/drumgw/gateway/request_lifecycle.py
+++ b/drumgw/gateway/request_lifecycle.py
@@ -130,9 +130,8 @@
         Args:
             now: the current time.
             received: the request; its `request_id` is assigned here.
-            waited_ms: how long the request may have been in the socket buffer while this process was
-                stalled. The client has been waiting during that time, so it is deducted from the
-                request's remaining time.
+            waited_ms: how long ago the request's last byte may have arrived. The client has been waiting
+                since then, so it is deducted from the request's remaining time.
 
         Returns:
             The request id and the commands.
--- a/drumgw/gateway/request_parsing.py
+++ b/drumgw/gateway/request_parsing.py
@@ -50,6 +50,7 @@
         head: Request line and headers, without Request-Timeout, which each attempt adds.
         body: The original bytes.
         received: The event for the policy engine; the request lifecycle sets its `request_id`.
+        arrived_at_ms: When its last byte arrived; the client's timeout counts from then.
         request_id: The same id; 0 until the request is submitted.
         has_client_disconnected: Returns whether the client has disconnected; called before each attempt's
             first byte.
@@ -58,6 +59,7 @@
     head: bytes
     body: bytes
     received: RequestReceived
+    arrived_at_ms: float
     request_id: int = 0
     has_client_disconnected: Callable[[], bool] = _not_disconnected
 
