Requests that are read late after a stall keep the deadline of their arrival

What a stall deducts was cleared by a timer 20 ms after the stall; but libuv accepts one connection an iteration, so requests on queued connections were read up to 502 ms after the stall, between those of old connections. A longer constant would lose fewer and refuse more.

Change: no constant. An arrival is bounded by what is known: - sockets that the loop watches: what is read now came after the heartbeat before the last, since the loop polls between two heartbeats; another heartbeat 1 ms after a stall ends the uncertainty; - connections that wait to be accepted: as old as the first one in the queue, which is checked at each accept; - reading that was paused: the time of the pause; - only if that leaves more than 20 ms, the kernel is asked (TCP_INFO), which gives the arrival of the last byte read. It is not used for several requests in one read, a request followed by other bytes, unread bytes, or a kernel that leaves the fields empty: then the bound counts. Without a stall a request costs no system call, a new connection one poll.

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -24,11 +24,15 @@
 
 from aiohttp.web_server import Server
 
+from drumgw.gateway.accept_queue import AcceptQueue
 from drumgw.gateway.bounded_connection import BoundedConnection
-from drumgw.gateway.clock import StallAwareClock
+from drumgw.gateway.clock import STALL_THRESHOLD_MS, StallAwareClock
 from drumgw.gateway.receive_budget import ReceiveBudget
 from drumgw.gateway.responses import CompleteResponse
+from drumgw.gateway.socket_watch import SocketWatch
+from drumgw.gateway.tcp_info import receive_ages
 
+HEAD_END = b"\r\n\r\n"
 CLIENT_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -87,6 +91,7 @@
         "_registry",
         "_log_internal_error",
         "_poll",
+        "_socket_watch",
         "_queued_arrivals_ms",
         "_last_arrival_ms",
     )
@@ -94,6 +99,7 @@
     def __init__(
         self,
         registry: ConnectionRegistry,
+        accept_queue: AcceptQueue,
         log_internal_error: Callable[[Exception, str], None],
         budget: ReceiveBudget,
         server: Server,
@@ -109,6 +115,7 @@
         self._registry = registry
         self._log_internal_error = log_internal_error
         self._poll: select.poll | None = None  # created when the socket is polled first
+        self._socket_watch = SocketWatch(registry.clock, accept_queue.connection_accepted())
         self._queued_arrivals_ms: list[float] = []  # one for each request in aiohttp's queue
         self._last_arrival_ms = self.state_since_ms
 
@@ -245,13 +252,16 @@
         """Parses bytes, and records the arrival of the requests that they complete."""
         body = self._last_payload
         was_in_body = not body.is_eof()
+        body_bytes = body.total_bytes if was_in_body else 0
         has_unparsed_requests = self._buffer_paused or not data
         unparsed = super()._parse(data, received_bytes)
         is_body_complete = was_in_body and body.is_eof()
         request_count = len(self._messages) - len(self._queued_arrivals_ms)
         if is_body_complete or request_count > 0:
             if not has_unparsed_requests:  # else they have arrived with the last request, or later
-                self._last_arrival_ms = self._arrival_ms()
+                body_bytes = self._last_payload.total_bytes - body_bytes
+                has_one_request = is_body_complete + request_count == 1
+                self._last_arrival_ms = self._arrival_ms(data, body_bytes if has_one_request else None)
             self._record_arrival(is_body_complete, request_count)
         return unparsed
 
@@ -262,9 +272,30 @@
             self.request_arrived_at_ms = self._last_arrival_ms
         self._queued_arrivals_ms += [self._last_arrival_ms] * request_count
 
-    def _arrival_ms(self) -> float:
-        clock = self._registry.clock
-        return clock.now() - clock.recent_stall_ms
+    def _arrival_ms(self, data: bytes, body_bytes: int | None) -> float:
+        """Returns the earliest time when the requests that these bytes complete can have arrived.
+
+        Args:
+            data: The bytes that were just read.
+            body_bytes: How many of them are the body of the only request that they complete; None if they
+                complete several requests.
+        """
+        now_ms = self._registry.clock.now()
+        earliest_ms = self._socket_watch.earliest_arrival_ms(now_ms)
+        if now_ms - earliest_ms <= STALL_THRESHOLD_MS:
+            return now_ms
+        if body_bytes is None or not _ends_with_request(data, body_bytes):
+            return earliest_ms  # the kernel only tells when the last byte arrived
+        age_ms = self._last_receive_age_ms()
+        return earliest_ms if age_ms is None else max(earliest_ms, now_ms - age_ms)
+
+    def _last_receive_age_ms(self) -> float | None:
+        """Returns how long ago the last byte that was read arrived; None if that is unknown."""
+        transport = self.socket_transport
+        if transport is None:
+            return None
+        age_ms = receive_ages.read_ms(transport.get_extra_info("socket"))
+        return None if self.has_unread_data() else age_ms  # of unread bytes, if there are any
 
     # Called by asyncio and aiohttp
 
@@ -274,6 +305,15 @@
         self.socket_transport = transport  # type: ignore[assignment]
         self._registry.opened(self)
 
+    def _pause_transport_reading(self) -> None:
+        super()._pause_transport_reading()
+        self._socket_watch.pause()
+
+    def _resume_transport_reading(self) -> None:
+        super()._resume_transport_reading()
+        if self.socket_transport is not None and self.socket_transport.is_reading():
+            self._socket_watch.resume()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Removes the connection from the registry."""
         self._registry.closed(self)
@@ -293,3 +333,12 @@
         """Reports an error that aiohttp logs for this connection through the gateway's own log."""
         error = exc_info if isinstance(exc_info, Exception) else RuntimeError(*args)
         self._log_internal_error(error, "a client connection")
+
+
+def _ends_with_request(data: bytes, body_bytes: int) -> bool:
+    """Whether the last byte is that of a request whose body has these many bytes of the data.
+
+    False also for a chunked body, and for a head of which the last line was read before.
+    """
+    head = data[: len(data) - body_bytes]
+    return not head or head.endswith(HEAD_END)
--- a/drumgw/gateway/clock.py
+++ b/drumgw/gateway/clock.py
@@ -2,7 +2,8 @@
 
 A process stalls while its host is paused, swaps or gives it no CPU time. Responses that arrive during a stall
 are read late. The stall must not be counted as latency of an endpoint or of the counter, and a timer that is
-overdue after a stall must not time out a call whose response only has to be read.
+overdue after a stall must not time out a call whose response only has to be read. Requests that arrived
+during a stall have been waiting since then, so the clock also bounds the age of what is read.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -18,6 +20,8 @@
 """Time between two heartbeats. Each costs an iteration of the event loop, as much as a small request."""
 STALL_THRESHOLD_MS = 20.0
 """A heartbeat this late counts as a stall. A timer this late lets pending responses be read first."""
+EXTRA_HEARTBEAT_MS = 1.0
+"""Time from the first heartbeat after a stall to another, before which the loop has polled its sockets."""
 
 
 class MonotonicClock:
@@ -35,9 +39,24 @@
         return (at_ms - self._offset_ms) / MS_PER_S
 
 
+class Heartbeat(NamedTuple):
+    """A heartbeat that has taken place.
+
+    Attributes:
+        at_ms: When it took place.
+        stalled_ms: Total of all stalls until then.
+    """
+
+    at_ms: float
+    stalled_ms: float
+
+
 class StallAwareClock:
     """A clock that detects stalls of its process by a heartbeat in the event loop.
 
+    Between two heartbeats the event loop polls its sockets and reads what it finds. So what is read now had
+    not arrived by the time of the heartbeat before the last.
+
     Args:
         monotonic: the source of the time.
         loop: the event loop that runs heartbeats and timers.
@@ -48,13 +67,16 @@
         self.loop = loop
         self.stalled_ms = 0.0
         """Total of all stalls since the start. Each is underestimated by up to one heartbeat interval."""
-        self.recent_stall_ms = 0.0
-        """Length of a stall that has just ended, else 0. Data read now may have arrived during it."""
-        self._heartbeat_due_ms = monotonic.now() + HEARTBEAT_MS
+        self._last_heartbeat = self._heartbeat_before = Heartbeat(monotonic.now(), 0.0)
+        self._heartbeat_due_ms = self._last_heartbeat.at_ms + HEARTBEAT_MS
 
     def start_heartbeat(self) -> None:
         """Starts the heartbeat, which continues for as long as the event loop runs."""
-        self._heartbeat_due_ms = self.now() + HEARTBEAT_MS
+        now = self.now()
+        if self.stalled_ms != self._last_heartbeat.stalled_ms:
+            self.loop.call_later(EXTRA_HEARTBEAT_MS / MS_PER_S, self._record_heartbeat)
+        self._record_heartbeat()
+        self._heartbeat_due_ms = now + HEARTBEAT_MS
         self.loop.call_later(HEARTBEAT_MS / MS_PER_S, self.start_heartbeat)
 
     def now(self) -> float:
@@ -66,21 +88,38 @@
             self._add_stall(late_ms)
         return now
 
+    @property
+    def unread_since_ms(self) -> float:
+        """Everything that arrived before this time on a socket that the loop watches has been read."""
+        return self._heartbeat_before.at_ms
+
+    def may_have_unread_bytes(self) -> bool:
+        """Whether bytes that arrived during a stall may be unread, on sockets that the loop watches."""
+        return self.stalled_ms != self._heartbeat_before.stalled_ms
+
+    def earliest_arrival_ms(self, now_ms: float) -> float:
+        """Returns the earliest time when bytes read now can have arrived, on a socket that the loop watches.
+
+        That is the current time unless there was a stall. A stall that is not detected is shorter than
+        HEARTBEAT_MS and STALL_THRESHOLD_MS together.
+
+        Args:
+            now_ms: The current time, read from this clock.
+        """
+        return self._heartbeat_before.at_ms if self.may_have_unread_bytes() else now_ms
+
     def call_at(self, at_ms: float, callback: Callable[[], None]) -> Timer:
         """Schedules a callback for this time; after a stall it runs a little later."""
         return Timer(self, at_ms, callback)
 
     def _add_stall(self, late_ms: float) -> None:
         self.stalled_ms += late_ms
-        self.recent_stall_ms += late_ms
-        self.loop.call_later(STALL_THRESHOLD_MS / MS_PER_S, self._clear_recent_stall, self.stalled_ms)
         if late_ms > HEARTBEAT_MS:
             logger.warning("process stalled for {:.0f} ms", late_ms)
 
-    def _clear_recent_stall(self, stalled_ms: float) -> None:
-        has_stalled_again = stalled_ms != self.stalled_ms
-        if not has_stalled_again:
-            self.recent_stall_ms = 0.0
+    def _record_heartbeat(self) -> None:
+        self._heartbeat_before = self._last_heartbeat
+        self._last_heartbeat = Heartbeat(self.now(), self.stalled_ms)
 
 
 class Timer:
--- a/drumgw/gateway/connection_limits.py
+++ b/drumgw/gateway/connection_limits.py
@@ -161,7 +161,7 @@
         """
         self.clock.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
         timed_out_before_ms = self.clock.now() - CLIENT_IDLE_TIMEOUT_MS
-        if self.clock.recent_stall_ms:
+        if self.clock.may_have_unread_bytes():
             return
         surplus = max(0, self.requesting_count() - self.bounds.max_requesting_clients // 2)
         self._close_timed_out(ConnectionState.NEW, None, timed_out_before_ms)
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -14,6 +14,7 @@
 from aiohttp.web_request import BaseRequest
 
 from drumgw.gateway import http_headers
+from drumgw.gateway.accept_queue import AcceptQueue
 from drumgw.gateway.bounded_connection import status_of_payload_error
 from drumgw.gateway.bounded_server import BoundedServer
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
@@ -69,9 +70,12 @@
         self.is_shutting_down = False
         self.open_request_ids: set[str] = set()
         self.socket: asyncio.Server | None = None
+        self._accept_queue = AcceptQueue(dispatcher.clock)
         self.server = BoundedServer(
             self.handle,
-            connection_factory=partial(ClientConnection, self.limits, dispatcher.log_internal_error),
+            connection_factory=partial(
+                ClientConnection, self.limits, self._accept_queue, dispatcher.log_internal_error
+            ),
             max_unanswered_bytes=config.max_unanswered_bytes,
             handler_cancellation=True,
             request_factory=self._make_request,
@@ -94,6 +98,7 @@
             )
         except OSError as error:
             raise ConfigError(f"cannot listen on {host}:{port}: {error}") from error
+        self._accept_queue.watch(listener.fileno() for listener in self.socket.sockets)
 
     async def open(self) -> tuple[str, int]:
         """Starts accepting connections and reports readiness.
--- a/tests/test_counter_client.py
+++ b/tests/test_counter_client.py
@@ -173,19 +173,16 @@
             timer = clock.call_at(clock.now() + 150.0, lambda: fired_at_s.append(monotonic_s[0]))
             monotonic_s[0] += 0.1
             clock.start_heartbeat()
-            self.assertEqual((clock.stalled_ms, clock.recent_stall_ms), (0.0, 0.0))
+            self.assertEqual((clock.stalled_ms, clock.may_have_unread_bytes()), (0.0, False))
             monotonic_s[0] += 0.6  # 500 ms after the heartbeat was due
             timer.fire()
             self.assertEqual(
-                (round(clock.stalled_ms), round(clock.recent_stall_ms), fired_at_s), (500, 500, [])
+                (round(clock.stalled_ms), clock.may_have_unread_bytes(), fired_at_s), (500, True, [])
             )
-            (_, clear_stall, stalled_ms), (_, fire_timer) = (
-                c.args for c in loop.call_later.call_args_list[-2:]
-            )
-            fire_timer()
-            clear_stall(stalled_ms)
+            loop.call_later.call_args.args[1]()
             self.assertEqual(
-                (fired_at_s, round(clock.stalled_ms), clock.recent_stall_ms), ([monotonic_s[0]], 500, 0.0)
+                (fired_at_s, round(clock.stalled_ms), clock.may_have_unread_bytes()),
+                ([monotonic_s[0]], 500, True),
             )
             clock.start_heartbeat()
             monotonic_s[0] += 0.1
--- a/tests/test_hosting.py
+++ b/tests/test_hosting.py
@@ -5,14 +5,46 @@
 import asyncio
 import os
 import re
+import socket
+import time
 from typing import Any
 from unittest import mock
 
 from drumgw.hosting.http_server import ListenerConfig
+from tests.gateway_case import http_request
 from tests.hosting_harness import POLL_S, TARGET, HostCase, SharedCounter
+from tests.race_case import RaceCase
+from tests.request_delays import parse_slowly
 from tests.scripted_server import http_response, read_message
 
 
+class StalledHost(RaceCase, HostCase):
+    """A host that stalls, on the event loop that it runs on in production."""
+
+    async def test_time_of_requests_that_wait_through_a_stall_of_the_host(self) -> None:
+        """Guards against telling an endpoint the time that a request has spent unread in a socket."""
+        await self.start_host(await self.tenant("t1"))
+        await self.send("t1")
+        sockets = [socket.create_connection(self.listen_address) for _ in range(4)]
+        await asyncio.sleep(0.05)  # the host accepts these; those that follow connect during the stall
+        sockets += [socket.create_connection(self.listen_address) for _ in range(12)]
+        for n, sock in enumerate(sockets):
+            self.addCleanup(sock.close)
+            sock.sendall(
+                http_request(TARGET, Host="t1.example", Request_Id=str(n), Plan="p", Request_Timeout="2500m")
+            )
+        with parse_slowly(0.02):
+            time.sleep(0.6)
+            for sock in sockets:
+                reader, writer = await asyncio.open_connection(sock=sock)
+                await read_message(reader)
+                writer.close()
+        heads = [head for head, _ in self.endpoints["t1"].requests[1:]]
+        told_ms = [int(match[1]) for head in heads if (match := re.search(rb"Request-Timeout: (\d+)m", head))]
+        self.assertTrue(told_ms)
+        self.assertLessEqual(max(told_ms), 2500 - 600 + 150)
+
+
 class TenantIsolation(HostCase):
     """Faults, load and idle connections of one tenant do not affect the others.
 
