Endpoints are told the time that is left when the request is written

What callers saw: an endpoint whose connection opens late was told the time of before, up to the connect timeout too much, and worked on for a client that had given up; a request whose client's time was up while its gateway stood still was still sent, told 1 ms, and so ran for nobody.

Cause: EndpointClients._attempt read the clock before it asked the pool for a connection, and took max(1, ...) of what was left.

Change: the pool asks for the bytes of a request when the connection is open, with the time at which it writes them. With less than a millisecond left nothing is written: the attempt ends as not sent, which the engine answers with 503 if no earlier attempt may have run.

Evidence: the three tests of SlowConnectionTest fail without the change (first attempt told 1,998 ms when 1,497 ms were left; further attempt 1,689 of 1,198; a request answered with 200 400 ms after its deadline). 64 tests of the gateway, attempts, deadlines and client connections OK.

--- a/drumgw/gateway/connection_pool.py
+++ b/drumgw/gateway/connection_pool.py
@@ -105,15 +105,24 @@
         for connection, _ in self.connector._conns.pop(key, ()):  # type: ignore[call-overload]
             connection.close()
 
-    async def send(self, peer: aiohttp.ClientRequest, request: bytes, exchange: Exchange) -> RawResponse:
+    async def send(
+        self, peer: aiohttp.ClientRequest, request_at: Callable[[float], bytes], exchange: Exchange
+    ) -> RawResponse:
         """Sends a request at most once and waits for its response.
 
         If it raises or is cancelled, the connection is closed and `exchange.written` shows whether the peer
         may have processed the request.
 
+        Args:
+            peer: The peer.
+            request_at: Returns the request that is written at a given time. Called once the connection is
+                open, which may take as long as the connect timeout.
+            exchange: Controls the exchange while it lasts.
+
         Raises:
             CONNECTION_ERRORS: Connecting failed, the connection broke or the response is malformed.
-            WriteDeadlineError: The last byte would have been sent after `exchange.write_deadline_ms`.
+            WriteDeadlineError: The last byte would have been sent after `exchange.write_deadline_ms`, or
+                `request_at` has raised it.
         """
         exchange.connection, connection = await self.connect(peer)
         self.before_write()
@@ -121,7 +130,7 @@
         if exchange.connection is None:  # closed by one of the two callbacks
             raise asyncio.CancelledError
         try:
-            response = await self._write(connection, request, exchange)
+            response = await self._write(connection, request_at, exchange)
         except BaseException:
             connection.on_response = connection.on_error = None
             exchange.written = exchange.written and not connection.writing_paused
@@ -140,12 +149,14 @@
         await self.connector.close()
 
     def _write(
-        self, connection: PeerConnection, request: bytes, exchange: Exchange
+        self, connection: PeerConnection, request_at: Callable[[float], bytes], exchange: Exchange
     ) -> asyncio.Future[RawResponse]:
         if not connection.is_usable():  # the transport would drop the request
             raise aiohttp.ServerDisconnectedError
-        if self.clock.now() >= exchange.write_deadline_ms:
+        now_ms = self.clock.now()
+        if now_ms >= exchange.write_deadline_ms:
             raise WriteDeadlineError
+        request = request_at(now_ms)
         response: asyncio.Future[RawResponse] = self.loop.create_future()
         connection.on_response = partial(_set_result, response)
         connection.on_error = partial(_set_exception, response)
--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -226,13 +226,12 @@
         self, command: StartAttempt, request: ClientRequest, client: EndpointClient, exchange: Exchange
     ) -> AttemptResult:
         clock = self._dispatcher.clock
-        time_left_ms = max(1, round(command.deadline_ms - clock.now()))
-        message = b"%bRequest-Timeout: %dm\r\n\r\n%b" % (request.head, time_left_ms, request.body)
         stalled_before_ms = clock.stalled_ms
         if client.peer is None:
             client.peer = self.pool.peer(client.address, client.connection_owner)
         try:
-            response = await self.pool.send(client.peer, message, exchange)
+            request_at = partial(forwarded_request, request, command.deadline_ms)
+            response = await self.pool.send(client.peer, request_at, exchange)
         except CONNECTION_ERRORS as error:
             clock.now()  # updates stalled_ms if a stall has just ended
             has_stalled = stalled_before_ms < clock.stalled_ms
@@ -243,11 +242,23 @@
         return read_response(response, self._reads_load_reports)
 
 
+def forwarded_request(request: ClientRequest, deadline_ms: float, now_ms: float) -> bytes:
+    """Returns the bytes of a request that is written to an endpoint now, with the time left.
+
+    Raises:
+        WriteDeadlineError: Less than a millisecond is left, so that the response could not reach the client.
+    """
+    time_left_ms = int(deadline_ms - now_ms)
+    if time_left_ms < 1:
+        raise WriteDeadlineError
+    return b"%bRequest-Timeout: %dm\r\n\r\n%b" % (request.head, time_left_ms, request.body)
+
+
 def outcome_of_error(error: BaseException, written: bool, has_stalled: bool) -> Outcome:
     """Returns the outcome of an attempt that ended with an error instead of a response.
 
-    A write deadline, or a connect timeout that expired while this process was stalled, must not count against
-    the endpoint: the outcome is then `NOT_SENT`.
+    A deadline that passed before the request was written must not count against the endpoint, nor a connect
+    timeout that expired while this process was stalled: the outcome is then `NOT_SENT`.
 
     Args:
         error: The exception that ended the attempt.
--- a/drumgw/gateway/peer_errors.py
+++ b/drumgw/gateway/peer_errors.py
@@ -21,7 +21,7 @@
 
 
 class WriteDeadlineError(PeerError):
-    """The write deadline passed before the request's last byte was sent; the rest is not sent."""
+    """A deadline passed before the request's last byte was sent; the rest is not sent."""
 
 
 CONNECTION_ERRORS = (aiohttp.ClientError, HttpProcessingError, OSError, TimeoutError)
--- a/tests/test_request_deadlines.py
+++ b/tests/test_request_deadlines.py
@@ -9,7 +9,7 @@
 import re
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 from unittest import mock
 
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
@@ -19,7 +19,7 @@
 from tests.gateway_case import POST_TARGET, REQUEST_HEADERS, http_request, load_config
 from tests.race_case import RaceCase, ScriptedConnection, wait_until
 from tests.request_delays import parse_slowly
-from tests.scripted_server import http_response
+from tests.scripted_server import ScriptedServer, http_response
 
 TOLD_SLACK_MS = 150.0
 """The pages' slack for the time that an attempt tells its endpoint."""
@@ -268,3 +268,74 @@
                 await asyncio.gather(*shutdowns)
                 if stall is not shut_down:
                     await self.close_gateway()
+
+
+class ToldTimeout(NamedTuple):
+    """What an endpoint was told by an attempt, and when it read that."""
+
+    timeout_ms: float
+    read_at_ms: float
+
+
+class SlowConnectionTest(RaceCase):
+    """The time that an endpoint is told if its connection opens late."""
+
+    async def start_endpoint(self, response: bytes, delay_s: float = 0.0) -> ScriptedServer:
+        """Starts an endpoint that records what it is told."""
+
+        async def respond(head: bytes, body: bytes) -> bytes:
+            timeout = re.search(rb"Request-Timeout: (\d+)m", head)
+            assert timeout
+            self.told.append(ToldTimeout(float(timeout[1]), self.gateway.clock.now()))
+            await asyncio.sleep(delay_s)
+            return response
+
+        return await self.start_server(respond)
+
+    async def asyncSetUp(self) -> None:
+        self.told: list[ToldTimeout] = []
+
+    def assert_told_at_most_what_was_left(self, sent_at_ms: float) -> None:
+        for told in self.told:
+            left_ms = sent_at_ms + TIMEOUT_MS - told.read_at_ms
+            self.assertLessEqual(told.timeout_ms, left_ms + TOLD_SLACK_MS)
+
+    async def test_first_attempt(self) -> None:
+        """Guards against reading the clock before the connection is open."""
+        endpoint = await self.start_endpoint(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        connection, sent_at_ms = self.open_client(), self.gateway.clock.now()
+        with self.hold_connections(lambda request: True) as release:
+            connection.write(http_request(Request_Timeout=f"{TIMEOUT_MS:.0f}m"))
+            await asyncio.sleep(0.5)
+            release.set()
+            await connection.read(b"ok")
+        self.assert_told_at_most_what_was_left(sent_at_ms)
+
+    async def test_further_attempt(self) -> None:
+        """The first endpoint rejects the request after a while, and the connection to the next opens late."""
+        rejection = http_response(status=503, Not_Started="1")
+        endpoints = [await self.start_endpoint(rejection, delay_s=0.3) for _ in range(2)]
+        await self.open_gateway(*(endpoint.address for endpoint in endpoints))
+        connection, sent_at_ms = self.open_client(), self.gateway.clock.now()
+        with self.hold_connections(lambda request: bool(self.told)) as release:
+            connection.write(http_request(Request_Timeout=f"{TIMEOUT_MS:.0f}m"))
+            await asyncio.sleep(0.8)
+            release.set()
+            await connection.read(b"\r\n\r\n")
+        self.assertEqual(len(self.told), 2)
+        self.assert_told_at_most_what_was_left(sent_at_ms)
+
+    async def test_nothing_is_sent_after_the_deadline(self) -> None:
+        """The connection opens during a stall in which the client's time is up; nothing may have run."""
+        endpoint = await self.start_endpoint(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        connection = self.open_client()
+        with self.hold_connections(lambda request: True) as release:
+            connection.write(http_request(Request_Timeout="200m"))
+            await wait_until(lambda: endpoint.connections)
+            release.set()
+            time.sleep(STALL_S)
+            self.assertIn(b" 503 ", await connection.read(b"\r\n\r\n"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.told, [])
