--- a/drumgw/gateway/accept_queue.py
+++ b/drumgw/gateway/accept_queue.py
@@ -31,12 +31,14 @@
         for listener in listeners:
             self._poll.register(listener, select.POLLIN)
 
-    def connection_accepted(self) -> float:
+    def connection_accepted(self, now_ms: float) -> float:
         """Called for each accepted connection; returns the earliest time when it can have been established.
 
         That is the current time if the queue was empty before and the process has not stalled.
+
+        Args:
+            now_ms: The current time, read from the clock.
         """
-        now_ms = self._clock.now()
         if self._is_empty:
             self._oldest_ms = max(self._empty_since_ms, self._clock.earliest_arrival_ms(now_ms))
         self._is_empty = not self._poll.poll(0)
--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -45,6 +45,9 @@
     IDLE = "between requests"
     CLOSING = "reading has stopped; closed once the client has shut down its side"
 
+    # A member is equal to itself only. Enum's own hash is a call at each look-up, several times a request.
+    __hash__ = object.__hash__
+
 
 class ConnectionRegistry(Protocol):
     """Receives the state changes of client connections."""
@@ -115,7 +118,9 @@
         self._registry = registry
         self._log_internal_error = log_internal_error
         self._poll: select.poll | None = None  # created when the socket is polled first
-        self._socket_watch = SocketWatch(registry.clock, accept_queue.connection_accepted())
+        accepted_ms = self.state_since_ms
+        established_ms = accept_queue.connection_accepted(accepted_ms)
+        self._socket_watch = SocketWatch(registry.clock, established_ms, accepted_ms)
         self._queued_arrivals_ms: list[float] = []  # one for each request in aiohttp's queue
         self._last_arrival_ms = self.state_since_ms
 
--- a/drumgw/gateway/connection_limits.py
+++ b/drumgw/gateway/connection_limits.py
@@ -93,8 +93,12 @@
 
     def requesting_count(self) -> int:
         """How many connections have sent a request and are not CLOSING."""
-        new = len(self.connections[ConnectionState.NEW])
-        return self.count() - new - len(self.connections[ConnectionState.CLOSING])
+        connections = self.connections
+        return (
+            len(connections[ConnectionState.READING])
+            + len(connections[ConnectionState.IN_FLIGHT])
+            + len(connections[ConnectionState.IDLE])
+        )
 
     def select_for_closing(self, new_client: ClientConnection) -> ClientConnection:
         """Selects the connection to close at the limit; the new connection itself if there is no other.
--- a/drumgw/gateway/socket_watch.py
+++ b/drumgw/gateway/socket_watch.py
@@ -17,14 +17,15 @@
     Args:
         clock: The clock of the event loop that reads the socket.
         established_ms: The earliest time when its connection can have been established.
+        accepted_ms: When it was accepted.
     """
 
     __slots__ = ("_clock", "_unwatched_since_ms", "_watched_since_ms")
 
-    def __init__(self, clock: StallAwareClock, established_ms: float) -> None:
+    def __init__(self, clock: StallAwareClock, established_ms: float, accepted_ms: float) -> None:
         self._clock = clock
         self._unwatched_since_ms = established_ms
-        was_accepted_at_once = clock.now() - established_ms <= STALL_THRESHOLD_MS
+        was_accepted_at_once = accepted_ms - established_ms <= STALL_THRESHOLD_MS
         self._watched_since_ms = -inf if was_accepted_at_once else inf
 
     def pause(self) -> None:
--- a/tests/test_arrival_bounds.py
+++ b/tests/test_arrival_bounds.py
@@ -145,7 +145,7 @@
         poll = mock.Mock()
         poll.poll.return_value = [(LISTENER, select.POLLIN)] if waiting else []
         with mock.patch.object(self.queue, "_poll", poll):
-            return self.after_start_ms(self.queue.connection_accepted())
+            return self.after_start_ms(self.queue.connection_accepted(self.clock.now()))
 
     def setUp(self) -> None:
         """Creates a queue that is empty."""
@@ -176,14 +176,14 @@
     """The bound for bytes that arrived while a socket was not watched."""
 
     def test_connection_that_was_accepted_at_once(self) -> None:
-        watch = SocketWatch(self.clock, self.clock.now())
+        watch = SocketWatch(self.clock, self.clock.now(), self.clock.now())
         self.stall(10.0)
         self.assertEqual(self.earliest_ms(watch), 310)
         self.stall(700.0)
         self.assertEqual(self.earliest_ms(watch), 300)
 
     def test_connection_that_had_to_wait_until_two_heartbeats_have_passed(self) -> None:
-        watch = SocketWatch(self.clock, self.clock.now() - 250.0)
+        watch = SocketWatch(self.clock, self.clock.now() - 250.0, self.clock.now())
         self.run_ms(100.0, 100.0)
         self.assertEqual(self.earliest_ms(watch), 50)
         watch.resume()
@@ -193,7 +193,7 @@
         self.assertEqual(self.earliest_ms(watch), 650)
 
     def test_pause_of_reading(self) -> None:
-        watch = SocketWatch(self.clock, self.clock.now())
+        watch = SocketWatch(self.clock, self.clock.now(), self.clock.now())
         self.run_ms(100.0, 100.0)
         watch.resume()  # without a pause it has no effect
         self.assertEqual(self.earliest_ms(watch), 500)
