Arrivals of a connection's requests have a module of their own

ClientConnection keeps the states of the connection; RequestArrivals, which does no I/O, keeps the order of arrivals and when a body was completed.

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -28,11 +28,11 @@
 from drumgw.gateway.bounded_connection import BoundedConnection
 from drumgw.gateway.clock import STALL_THRESHOLD_MS, StallAwareClock
 from drumgw.gateway.receive_budget import ReceiveBudget
+from drumgw.gateway.request_arrivals import RequestArrivals, ends_with_request
 from drumgw.gateway.responses import CompleteResponse
 from drumgw.gateway.socket_watch import SocketWatch
 from drumgw.gateway.tcp_info import receive_ages
 
-HEAD_END = b"\r\n\r\n"
 CLIENT_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -78,8 +78,7 @@
         state_since_ms: When the connection entered the current state.
         tenant_key: The tenant of its last request if the listener serves several tenants, else empty.
         socket_transport: The transport. aiohttp drops its own reference before the transport is closed.
-        request_arrived_at_ms: When the last byte of the request that is being handled arrived, or earlier if
-            that is uncertain.
+        arrivals: When its requests arrived.
         close_was_deferred: Whether, in the current state, the connection was already kept open once because
             of unread bytes.
     """
@@ -90,13 +89,11 @@
         "tenant_key",
         "socket_transport",
         "close_was_deferred",
-        "request_arrived_at_ms",
+        "arrivals",
         "_registry",
         "_log_internal_error",
         "_poll",
         "_socket_watch",
-        "_queued_arrivals_ms",
-        "_last_arrival_ms",
     )
 
     def __init__(
@@ -114,15 +111,13 @@
         self.tenant_key = ""
         self.socket_transport: asyncio.Transport | None = None
         self.close_was_deferred = False
-        self.request_arrived_at_ms = self.state_since_ms
+        self.arrivals = RequestArrivals(self.state_since_ms)
         self._registry = registry
         self._log_internal_error = log_internal_error
         self._poll: select.poll | None = None  # created when the socket is polled first
         accepted_ms = self.state_since_ms
         established_ms = accept_queue.connection_accepted(accepted_ms)
         self._socket_watch = SocketWatch(registry.clock, established_ms, accepted_ms)
-        self._queued_arrivals_ms: list[float] = []  # one for each request in aiohttp's queue
-        self._last_arrival_ms = self.state_since_ms
 
     def enter_state(self, state: ConnectionState) -> None:
         """Changes the state; has no effect once the connection is closed."""
@@ -248,11 +243,6 @@
 
     # Arrival of requests
 
-    def start_request(self) -> None:
-        """Sets the arrival time of the request that aiohttp has taken from its queue."""
-        if self._queued_arrivals_ms:
-            self.request_arrived_at_ms = self._queued_arrivals_ms.pop(0)
-
     def _parse(self, data: bytes, received_bytes: int) -> bytes:
         """Parses bytes, and records the arrival of the requests that they complete."""
         body = self._last_payload
@@ -261,22 +251,17 @@
         has_unparsed_requests = self._buffer_paused or not data
         unparsed = super()._parse(data, received_bytes)
         is_body_complete = was_in_body and body.is_eof()
-        request_count = len(self._messages) - len(self._queued_arrivals_ms)
+        request_count = len(self._messages) - len(self.arrivals)
         if is_body_complete or request_count > 0:
-            if not has_unparsed_requests:  # else they have arrived with the last request, or later
+            if not has_unparsed_requests:  # else they have arrived with the latest request, or later
                 body_bytes = self._last_payload.total_bytes - body_bytes
                 has_one_request = is_body_complete + request_count == 1
-                self._last_arrival_ms = self._arrival_ms(data, body_bytes if has_one_request else None)
-            self._record_arrival(is_body_complete, request_count)
+                self.arrivals.latest_ms = self._arrival_ms(data, body_bytes if has_one_request else None)
+            if is_body_complete:
+                self.arrivals.complete_body()
+            self.arrivals.add(request_count)
         return unparsed
 
-    def _record_arrival(self, is_body_complete: bool, request_count: int) -> None:
-        if is_body_complete and self._queued_arrivals_ms:
-            self._queued_arrivals_ms[-1] = self._last_arrival_ms
-        elif is_body_complete:
-            self.request_arrived_at_ms = self._last_arrival_ms
-        self._queued_arrivals_ms += [self._last_arrival_ms] * request_count
-
     def _arrival_ms(self, data: bytes, body_bytes: int | None) -> float:
         """Returns the earliest time when the requests that these bytes complete can have arrived.
 
@@ -289,7 +274,7 @@
         earliest_ms = self._socket_watch.earliest_arrival_ms(now_ms)
         if now_ms - earliest_ms <= STALL_THRESHOLD_MS:
             return now_ms
-        if body_bytes is None or not _ends_with_request(data, body_bytes):
+        if body_bytes is None or not ends_with_request(data, body_bytes):
             return earliest_ms  # the kernel only tells when the last byte arrived
         age_ms = self._last_receive_age_ms()
         return earliest_ms if age_ms is None else max(earliest_ms, now_ms - age_ms)
@@ -339,12 +324,3 @@
         """Reports an error that aiohttp logs for this connection through the gateway's own log."""
         error = exc_info if isinstance(exc_info, Exception) else RuntimeError(*args)
         self._log_internal_error(error, "a client connection")
-
-
-def _ends_with_request(data: bytes, body_bytes: int) -> bool:
-    """Whether the last byte is that of a request whose body has these many bytes of the data.
-
-    False also for a chunked body, and for a head of which the last line was read before.
-    """
-    head = data[: len(data) - body_bytes]
-    return not head or head.endswith(HEAD_END)
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -184,7 +184,7 @@
             head,
             body,
             received,
-            client.request_arrived_at_ms,
+            client.arrivals.current_ms,
             has_client_disconnected=client.has_client_disconnected,
         )
         open_request_ids.add(request_id)
@@ -219,7 +219,7 @@
             raise BadRequestError(400, "the body can't be read") from error
 
     def _make_request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
-        protocol.start_request()
+        protocol.arrivals.start_next()
         return BaseRequest(
             message, payload, protocol, writer, task, self.dispatcher.loop, client_max_size=MAX_BODY_BYTES
         )
