A stall that ends before an attempt connects is not one during the attempt

That reading also recorded a stall that had just ended, before stalled_ms was taken as the attempt's baseline. Without it a connect timeout after such a stall ended as not sent, and did not count against the endpoint.

The new test, which stalls between the decision and the attempt, fails without it (not sent in place of unreachable).

--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -226,6 +226,7 @@
         self, command: StartAttempt, request: ClientRequest, client: EndpointClient, exchange: Exchange
     ) -> AttemptResult:
         clock = self._dispatcher.clock
+        clock.now()  # updates stalled_ms if a stall has just ended
         stalled_before_ms = clock.stalled_ms
         if client.peer is None:
             client.peer = self.pool.peer(client.address, client.connection_owner)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import tempfile
+import time
 from typing import Any
 from unittest import mock
 
@@ -276,3 +277,26 @@
             for _ in range(2):
                 await self.send_request(Request_Timeout="50m")
         self.assertEqual(outcomes, [Outcome.UNREACHABLE, Outcome.NOT_SENT])
+
+    async def test_connect_timeout_after_a_stall_counts_against_the_endpoint(self) -> None:
+        """Guards against taking a stall that ended before the attempt connects for one during the attempt."""
+        gateway = await self.open_gateway("127.0.0.1:1")
+        outcomes = list[Outcome]()
+        clients, lifecycle = gateway.endpoint_clients, gateway.dispatcher.lifecycle
+        start_attempt, attempt_ended = clients.start_attempt, lifecycle.attempt_ended
+
+        def start_and_stall(*arguments: Any) -> None:
+            start_attempt(*arguments)
+            time.sleep(0.3)
+
+        def record_outcome(now: float, request_id: int, attempt: int, outcome: Outcome, *rest: Any) -> Any:
+            outcomes.append(outcome)
+            return attempt_ended(now, request_id, attempt, outcome, *rest)
+
+        with (
+            mock.patch.object(clients.pool.connector, "connect", side_effect=TimeoutError),
+            mock.patch.object(clients, "start_attempt", start_and_stall),
+            mock.patch.object(lifecycle, "attempt_ended", record_outcome),
+        ):
+            await self.send_request(Request_Timeout="2000m")
+        self.assertEqual(outcomes[0], Outcome.UNREACHABLE)
