--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -247,14 +247,14 @@
         """Parses bytes, and records the arrival of the requests that they complete."""
         body = self._last_payload
         was_in_body = not body.is_eof()
-        body_bytes = body.total_bytes if was_in_body else 0
+        body_bytes_before = body.total_bytes if was_in_body else 0
         has_unparsed_requests = self._buffer_paused or not data
         unparsed = super()._parse(data, received_bytes)
         is_body_complete = was_in_body and body.is_eof()
         request_count = len(self._messages) - len(self.arrivals)
         if is_body_complete or request_count > 0:
             if not has_unparsed_requests:  # else they have arrived with the latest request, or later
-                body_bytes = self._last_payload.total_bytes - body_bytes
+                body_bytes = self._last_payload.total_bytes - body_bytes_before
                 has_one_request = is_body_complete + request_count == 1
                 self.arrivals.latest_ms = self._arrival_ms(data, body_bytes if has_one_request else None)
             if is_body_complete:
--- a/drumgw/gateway/clock.py
+++ b/drumgw/gateway/clock.py
@@ -17,7 +17,7 @@
 
 MS_PER_S = 1000.0
 HEARTBEAT_MS = 100.0
-"""Time between two heartbeats. Each costs an iteration of the event loop, as much as a small request."""
+"""Time between two heartbeats. Each costs two iterations of the event loop, as much as two small requests."""
 STALL_THRESHOLD_MS = 20.0
 """A heartbeat this late counts as a stall. A timer this late lets pending responses be read first."""
 RECHECK_MS = 1.0
@@ -119,9 +119,8 @@
     def _mark_before_poll(self) -> None:
         now = self.now()
         self._next_mark = PollMark(now, self.stalled_ms)
-        delay_ms = max(RECHECK_MS, self._heartbeat_due_ms - now)
-        if self.may_have_unread_bytes():
-            delay_ms = RECHECK_MS
+        until_due_ms = 0.0 if self.may_have_unread_bytes() else self._heartbeat_due_ms - now
+        delay_ms = max(RECHECK_MS, until_due_ms)
         self.loop.call_later(delay_ms / MS_PER_S, self.start_heartbeat)
 
 
--- a/drumgw/gateway/http_headers.py
+++ b/drumgw/gateway/http_headers.py
@@ -1,7 +1,10 @@
-"""Names of the HTTP headers and fields that the gateway reads or writes, as the platform defines them."""
+"""The HTTP headers and fields that the gateway reads or writes, named as the platform defines them."""
 
 from __future__ import annotations
 
+HEAD_END = b"\r\n\r\n"
+"""Follows the last header of a request or response."""
+
 # Request headers sent by clients
 REQUEST_ID = "Request-Id"
 PLAN = "Plan"
--- a/drumgw/gateway/request_arrivals.py
+++ b/drumgw/gateway/request_arrivals.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-HEAD_END = b"\r\n\r\n"
+from drumgw.gateway.http_headers import HEAD_END
 
 
 class RequestArrivals:
--- a/drumgw/gateway/response_framing.py
+++ b/drumgw/gateway/response_framing.py
@@ -18,11 +18,11 @@
 from aiohttp.http import HttpProcessingError, HttpResponseParser
 from aiohttp.http_parser import RawResponseMessage
 
+from drumgw.gateway.http_headers import HEAD_END
 from drumgw.gateway.peer_errors import MalformedResponseError
 from drumgw.gateway.process_config import MAX_HEAD_BYTES
 
 HEAD_START = b"HTTP/1."
-HEAD_END = b"\r\n\r\n"
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
--- a/tests/test_request_deadlines.py
+++ b/tests/test_request_deadlines.py
@@ -74,14 +74,16 @@
         self.sent_count += len(request_ids)
         connection.write(data)
 
-    async def wait_for_responses(self) -> None:
-        """Waits until all requests were received and have their responses."""
-        lifecycle = self.gateway.dispatcher.lifecycle
-        await wait_until(lambda: lifecycle.received_count == self.sent_count and not lifecycle.in_flight)
+    async def send_in_pieces(self, connection: ScriptedConnection, pause_s: float) -> None:
+        """Sends a request with a body, the end of the body after a pause."""
+        connection.write(REQUEST_WITH_BODY[:-2])
+        await asyncio.sleep(pause_s)
+        self.send_bytes(connection, REQUEST_WITH_BODY[-2:], REQUEST_HEADERS["Request-Id"])
 
     async def assert_deadlines_count_from_arrival(self, timeout_ms: float = TIMEOUT_MS) -> None:
         """Waits for all responses, and checks the attempts; a few requests may have been rejected."""
-        await self.wait_for_responses()
+        lifecycle = self.gateway.dispatcher.lifecycle
+        await wait_until(lambda: lifecycle.received_count == self.sent_count and not lifecycle.in_flight)
         self.assertGreater(len(self.deadlines_ms), len(self.sent_at_ms) // 4)
         for request_id, deadline_ms in self.deadlines_ms.items():
             latest_ms = self.sent_at_ms[request_id] + timeout_ms + TOLD_SLACK_MS
@@ -112,10 +114,7 @@
 
     async def test_time_of_request_in_pieces_counts_from_its_last_byte(self) -> None:
         await self.open_recording_gateway()
-        connection = self.open_client()
-        connection.write(REQUEST_WITH_BODY[:-2])
-        await asyncio.sleep(0.3)
-        self.send_bytes(connection, REQUEST_WITH_BODY[-2:], REQUEST_HEADERS["Request-Id"])
+        await self.send_in_pieces(self.open_client(), pause_s=0.3)
         await self.assert_deadlines_count_from_arrival()
         self.assert_whole_time_is_left()
 
@@ -190,9 +189,7 @@
 
     async def test_request_in_pieces_of_which_the_last_came_before_the_stall_ended(self) -> None:
         connection = await self.open_stalling_gateway()
-        connection.write(REQUEST_WITH_BODY[:-2])
-        await asyncio.sleep(0.05)
-        self.send_bytes(connection, REQUEST_WITH_BODY[-2:], REQUEST_HEADERS["Request-Id"])
+        await self.send_in_pieces(connection, pause_s=0.05)
         time.sleep(STALL_S)
         await self.assert_deadlines_count_from_arrival()
 
