Test of the endpoint list's watch does not depend on the speed of the machine

Cause, by forcing it: the test counts every call of the agent as the watch's. If the test takes over 150 ms between two updates, the gateway makes a backup poll, which repeats the watch's generation.

The test leaves out backup polls (tests of their own: test_discovery_outages); all assertions are as before.

--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -16,6 +16,7 @@
 from unittest import mock
 
 from drumgw import __main__ as program
+from drumgw.gateway.discovery import DiscoveryClient
 from drumgw.gateway.process_config import ConfigError
 from drumgw.model.events import EndpointStatus, Outcome
 from tests.gateway_case import (
@@ -164,6 +165,12 @@
     """Effects of changes of the endpoint list on connections and attempts."""
 
     async def test_watch_continues_after_each_update_and_drains_reach_the_clients(self) -> None:
+        """Backup polls, which a slow machine would make in this test, are left out: they repeat the watch."""
+
+        async def make_no_backup_polls(client: DiscoveryClient) -> None:
+            await asyncio.Event().wait()
+
+        self.enterContext(mock.patch.object(DiscoveryClient, "_poll_while_silent", make_no_backup_polls))
         updates: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
         targets: list[bytes] = []
 
