Quota accounts are bounded; a dropped account gives its customer no new quota

Cause: accounts were dropped only after 20 s without a request, so one client with ever new customers grew a gateway from 38 to 157 MB in 25 s. Change: the table of accounts has a limit and drops the least recently used one without attempts; a table of constant size remembers until when dropped usage would have lasted, and charges it to the customer's next account (collisions only ever cost quota). Idle accounts are dropped the same way.

--- a/drumgw/policy/engine.py
+++ b/drumgw/policy/engine.py
@@ -24,6 +24,7 @@
     TimerFired,
 )
 from drumgw.model.settings import GatewaySettings
+from drumgw.policy.account_table import AccountTable
 from drumgw.policy.admission import AdmissionControl
 from drumgw.policy.attempt_tracking import AttemptTracker
 from drumgw.policy.back_end import BackEnd
@@ -33,7 +34,7 @@
 from drumgw.policy.counter_polling import CounterPoller
 from drumgw.policy.counter_sync import CounterSync
 from drumgw.policy.endpoint_selection import EndpointSelector
-from drumgw.policy.quota_account import IDLE_ACCOUNT_MS, PlanLimits, QuotaAccount
+from drumgw.policy.quota_account import PlanLimits, QuotaAccount
 from drumgw.policy.request_flow import RequestFlow
 from drumgw.policy.request_state import PendingRequest
 from drumgw.policy.retry import RetryPolicy
@@ -70,8 +71,7 @@
         self.class_count = class_count
         self.max_request_units = settings.max_request_units
         self.plans = [PlanLimits.from_plan(plan) for plan in settings.plans]
-        self.accounts: dict[int, QuotaAccount] = {}
-        """Quota accounts by customer."""
+        self.accounts = AccountTable()
         self.pending: dict[int, PendingRequest] = {}
         """Requests without a final answer, by request id."""
         self.back_end = BackEnd(context, settings)
@@ -138,11 +138,11 @@
         self.back_end.endpoints.update(event)
 
     def _request_received(self, event: RequestReceived) -> None:
-        account = self.accounts.get(event.customer)
+        account = self.accounts.use(event.customer)
         if account is None:
             plan = self.plans[event.plan]
             account = QuotaAccount.open(plan, event, self.context, self.class_count, self.max_request_units)
-            self.accounts[event.customer] = account
+            self.accounts.open(account, self.context.now_ms)
         account.refill(self.context.now_ms)
         self.requests.receive(event, account)
 
@@ -159,15 +159,7 @@
         self.attempts.check_overdue()
         self.back_end.overload.update(TICK_MS)
         if self.context.random.random() < SWEEP_PROBABILITY:
-            self._drop_idle_accounts()
-
-    def _drop_idle_accounts(self) -> None:
-        now_ms = self.context.now_ms
-        self.accounts = {
-            customer: account
-            for customer, account in self.accounts.items()
-            if account.attempts_in_flight or now_ms - account.updated_at_ms < IDLE_ACCOUNT_MS
-        }
+            self.accounts.drop_idle(self.context.now_ms)
 
     def _counter_replied(self, event: CounterReplied) -> None:
         call = self.counter_calls.take(event.counter_key)
--- a/drumgw/policy/quota_account.py
+++ b/drumgw/policy/quota_account.py
@@ -74,7 +74,7 @@
 
 @dataclass(slots=True, eq=False)
 class QuotaAccount:
-    """One customer's account at this gateway. The engine drops it after `IDLE_ACCOUNT_MS` without a request.
+    """One customer's account at this gateway. `AccountTable` drops it after `IDLE_ACCOUNT_MS` without a request.
 
     The account's own methods update usage, refill and ceiling. `CounterSync` and `CounterRepair` write the
     fields that come from totals of the shared counter, and `CounterPoller` writes the allowance.
@@ -225,6 +225,34 @@
         self.local_usage_units = min(self.plan.quota_units, self.local_usage_units + units)
         self.local_usage_units_per_ms[class_rank] += units / RATE_TIME_CONSTANT_MS
 
+    def time_to_refill_ms(self) -> float:
+        """Time until the quota is unused again, by this gateway's figures; 0 for a plan without a quota."""
+        rate = self.plan.rate_units_per_ms
+        reserved_units = sum(units for units in self.reserved_units if units > 0)
+        used_units = max(self.local_usage_units, sum(self.usage_units) + reserved_units)
+        return used_units / rate if rate else 0.0
+
+    def time_to_full_ceiling_ms(self) -> float:
+        """Time until this gateway's part of the ceiling is full; 0 for a plan without a ceiling."""
+        rate = self.plan.ceiling_units_per_ms / self.gateway_count
+        missing_units = self.plan.ceiling_burst_units / self.gateway_count - self.ceiling_units
+        return max(0.0, missing_units / rate) if rate else 0.0
+
+    def restore_usage(self, quota_refill_ms: float, ceiling_refill_ms: float) -> None:
+        """Charges a new account for the usage of an earlier one, given the times until it is refilled.
+
+        The classes of that usage are not known; it counts for the lowest, as remote usage does.
+        """
+        plan = self.plan
+        if quota_refill_ms > 0:
+            used_units = min(plan.quota_units, plan.rate_units_per_ms * quota_refill_ms)
+            self.usage_units[-1] += used_units
+            self.local_usage_units = used_units
+        if ceiling_refill_ms > 0:
+            burst_units = plan.ceiling_burst_units / self.gateway_count
+            missing_units = plan.ceiling_units_per_ms * ceiling_refill_ms / self.gateway_count
+            self.ceiling_units = min(self.ceiling_units, burst_units - missing_units)
+
     def correct_usage(self, class_rank: int, estimated_units: float, billed_units: float) -> None:
         """Replaces the estimated units of a request by those that the back end billed."""
         self.usage_units[class_rank] = max(0.0, self.usage_units[class_rank] + billed_units - estimated_units)
