Tests of crowds: the endpoint has a process of its own

Cause, by a trace of the usual requests (scratch copy): the gateway passed each on within 10 ms; the rest, 0.98 to 1.44 s, was ConnectionPool.send waiting for the response of the test's endpoint. That ran in the event loop of the test's own process, in asyncio's debug mode and with a backlog of 100 (about 350 listen overflows a run), and had up to 340 attempts in its queue. With a backlog of 1024 alone the delay stays, so it was the processor time. Change: the endpoint is a process of its own. The bound and all assertions stay.

--- a/tests/flood_case.py
+++ b/tests/flood_case.py
@@ -14,7 +14,7 @@
 from tests.flood_clients import Flood
 from tests.gateway_case import endpoint_row, http_request, list_response, raw_config
 from tests.race_case import GatewaySubprocess, RaceCase
-from tests.scripted_server import http_response, read_message
+from tests.scripted_server import read_message
 
 KB = 1024
 SAMPLE_S = 0.02
@@ -101,10 +101,20 @@
 class FloodCase(RaceCase):
     """A gateway process with one endpoint, and clients that send at full speed."""
 
-    async def start_gateway(self, memory_mb: float, response: bytes = b"ok") -> tuple[str, int]:
+    async def start_endpoint(self, response_bytes: int) -> str:
+        """Starts an endpoint with responses of this size; returns its address."""
+        endpoint = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "tests.flood_endpoint", str(response_bytes)),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.addAsyncCleanup(_kill, endpoint)
+        assert endpoint.stdout is not None
+        return (await endpoint.stdout.readline()).decode().strip()
+
+    async def start_gateway(self, memory_mb: float, response_bytes: int = 2) -> tuple[str, int]:
         """Starts `self.process`, a gateway with this memory limit; returns its host and port."""
-        endpoint = await self.start_server(http_response(response))
-        rows = [endpoint_row("s", endpoint.address)]
+        rows = [endpoint_row("s", await self.start_endpoint(response_bytes))]
         agent = await self.start_server(
             lambda head, body: None if b"since=" in head else list_response(*rows)
         )
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -11,14 +11,15 @@
 SMALLEST_LIMIT_MB = 64
 ON_TIME_MS = 800.0
 """The shortest time that a class of the operators' deployments has for its answers."""
-LARGE_RESPONSE = 60_000 * b"x"
+SMALL_RESPONSE_BYTES = 2
+LARGE_RESPONSE_BYTES = 60_000
 
 
 class CrowdMemoryTest(FloodCase):
     """Resident memory, with the files that are mapped into the process."""
 
-    async def check_memory(self, memory_mb: float, *floods: tuple[Flood, int], response: bytes) -> None:
-        address = await self.start_gateway(memory_mb, response)
+    async def check_memory(self, memory_mb: float, *floods: tuple[Flood, int], response_bytes: int) -> None:
+        address = await self.start_gateway(memory_mb, response_bytes)
         for flood, clients in floods:
             with self.subTest(flood=flood, memory_mb=memory_mb):
                 result = await self.flood(address, flood, clients, FLOOD_S)
@@ -27,19 +28,19 @@
 
     async def test_a_crowd_that_stops_half_way_does_not_take_a_gateway_over_its_memory_limit(self) -> None:
         floods = (Flood.FIELDS_AND_HALF_BODY, CROWD), (Flood.PARTIAL_BODY, CROWD), (Flood.PARTIAL_HEAD, CROWD)
-        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response=b"ok")
+        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response_bytes=SMALL_RESPONSE_BYTES)
 
     async def test_a_crowd_at_full_speed_does_not_take_a_gateway_over_its_memory_limit(self) -> None:
         floods = (Flood.SMALL_CHUNKS, CROWD), (Flood.PIPELINE, CROWD), (Flood.LARGE_PIPELINE, CROWD)
-        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response=LARGE_RESPONSE)
+        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response_bytes=LARGE_RESPONSE_BYTES)
 
     async def test_a_crowd_that_reads_nothing_does_not_take_a_gateway_over_its_memory_limit(self) -> None:
         floods = (Flood.UNREAD_PIPELINE, CROWD), (Flood.LARGE_UNREAD, CROWD)
-        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response=LARGE_RESPONSE)
+        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response_bytes=LARGE_RESPONSE_BYTES)
 
     async def test_one_client_with_ever_new_customers_does_not_take_a_gateway_over_its_limit(self) -> None:
         floods = (Flood.NEW_CUSTOMERS, 1), (Flood.UNSOUND_NEW_CUSTOMERS, 1), (Flood.NEW_CUSTOMERS, 1)
-        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response=b"ok")
+        await self.check_memory(SMALLEST_LIMIT_MB, *floods, response_bytes=SMALL_RESPONSE_BYTES)
 
 
 class CrowdDelayTest(FloodCase):
