An id whose client left before its response is not forwarded a second time

Cause: HttpServer.forward forgot the id when its client left, while an attempt was written; also if the client left in the turn in which the response came. An id of which no attempt was written completely is forwarded as before. A request that is not safe to repeat is checked for its client's close once its response has come. Tenants of a host have it too, also across a replaced service. Other gateways do not know of the id.

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -184,6 +184,11 @@
         """Whether the client has shut down or reset the connection; read from the socket itself."""
         return self._poll_socket(CLIENT_ENDED_EVENTS)
 
+    def is_client_gone(self) -> bool:
+        """Whether the connection is closed or closing, or the client has ended it according to the kernel."""
+        transport = self.socket_transport
+        return transport is None or transport.is_closing() or self.client_has_ended()
+
     def defer_close_if_unread(self) -> bool:
         """Whether to postpone closing because of unread bytes; True at most once per state.
 
@@ -201,8 +206,7 @@
         aiohttp stops reading while many pipelined requests of the connection wait, so it would not notice the
         close.
         """
-        transport = self.socket_transport
-        if transport is not None and not transport.is_closing() and not self.client_has_ended():
+        if not self.is_client_gone():
             return False
         self.abort()  # the event loop cancels the handlers in its next iteration, even if reading is paused
         return True
--- a/drumgw/gateway/dispatcher.py
+++ b/drumgw/gateway/dispatcher.py
@@ -44,6 +44,9 @@
     def withdraw_unsent(self, request_id: int, attempt: int, /) -> None:
         """Ends the attempt with `Outcome.NOT_SENT` unless its request has been written completely."""
 
+    def is_written(self, request_id: int, attempt: int, /) -> bool:
+        """Whether the attempt is in flight and its request has been written completely."""
+
 
 class CounterTransport(Protocol):
     """Sends calls to the shared counter, and posts `counter_replied` for each."""
@@ -155,11 +158,13 @@
         return response
 
     def client_disconnected(self, request_id: int) -> None:
-        """Handles a client's disconnect.
+        """Handles a client's disconnect, and sets `may_have_run` of its request.
 
         Attempts that are not completely written are withdrawn, even if the settings do not allow cancelling.
         """
-        self.pending_requests.pop(request_id, None)
+        pending = self.pending_requests.pop(request_id, None)
+        if pending is not None:
+            pending.request.may_have_run = self._may_have_run(request_id)
         self.post(self.lifecycle.client_disconnected, request_id)
         in_flight = self.lifecycle.in_flight.get(request_id)
         if in_flight is not None and self.attempts is not None:
@@ -167,6 +172,13 @@
                 self.attempts.withdraw_unsent(request_id, attempt)
         self._cancel_deadline_if_finished(request_id)
 
+    def _may_have_run(self, request_id: int) -> bool:
+        in_flight = self.lifecycle.in_flight.get(request_id)
+        if in_flight is None or self.attempts is None:
+            return False
+        is_written = partial(self.attempts.is_written, request_id)
+        return in_flight.ended_attempt_may_have_run or any(map(is_written, in_flight.attempts))
+
     def log_internal_error(self, error: Exception, where: str) -> None:
         """Logs an unexpected exception with its traceback."""
         logger.opt(exception=error).error("{}internal error in {}: {!r}", self.log_prefix, where, error)
--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -179,6 +179,12 @@
             exchange.close()
             task.cancel()
 
+    def is_written(self, request_id: int, attempt: int) -> bool:
+        """Whether an attempt is in flight and its request is fully written."""
+        key = AttemptKey(request_id, attempt)
+        client = self.in_flight.get(key)
+        return client is not None and client.in_flight[key][1].written
+
     def withdraw_unsent(self, request_id: int, attempt: int) -> None:
         """Ends an attempt as `NOT_SENT` if its request is not fully written.
 
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -20,10 +20,11 @@
 from drumgw.gateway.bounded_server import BoundedServer
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
 from drumgw.gateway.clock import MS_PER_S
-from drumgw.gateway.commands import SendResponse
+from drumgw.gateway.commands import STATUS_REJECTED, SendResponse
 from drumgw.gateway.connection_limits import CLOSING_POLL_INTERVAL_S, ConnectionLimits
 from drumgw.gateway.dispatcher import Dispatcher
 from drumgw.gateway.process_config import MAX_BODY_BYTES, ConfigError, GatewayConfig
+from drumgw.gateway.request_ids import RequestIds
 from drumgw.gateway.request_parsing import BadRequestError, ClientRequest, parse_request, write_head
 from drumgw.gateway.responses import CompleteResponse
 
@@ -32,6 +33,8 @@
 LISTEN_BACKLOG = 1024
 RECEIVE_BUFFER_BYTES = 256 * 1024
 """The kernel's buffer of a connection. A client's close is noticed only if all that it sent before fits."""
+REPEATABLE_METHODS = ("GET",)
+"""Methods of the request classes that are safe to repeat (protocol)."""
 REQUIRED_IDLE_POLLS = 2
 """Consecutive polls without pending responses before the drain ends.
 
@@ -43,8 +46,8 @@
 
     config: GatewayConfig
     dispatcher: Dispatcher
-    open_request_ids: set[str]
-    """`Request-Id` values of the service's requests in flight."""
+    request_ids: RequestIds
+    """Those that must not be forwarded again."""
 
 
 class HttpServer:
@@ -59,7 +62,7 @@
         ready: Whether the readiness check succeeds.
         is_shutting_down: Whether each connection is closed after its response.
         server: aiohttp's server, which holds the connections.
-        open_request_ids: `Request-Id` values in flight; an entry is removed when its request ends.
+        request_ids: `Request-Id` values that must not be forwarded again.
         socket: The listening socket; None before `bind`.
     """
 
@@ -71,7 +74,7 @@
         self.limits = limits or ConnectionLimits(config, dispatcher.clock)
         self.ready = False
         self.is_shutting_down = False
-        self.open_request_ids: set[str] = set()
+        self.request_ids = RequestIds()
         self.socket: asyncio.Server | None = None
         self._accept_queue = AcceptQueue(dispatcher.clock)
         self.server = BoundedServer(
@@ -157,7 +160,7 @@
         Raises:
             BadRequestError: The request is rejected and not forwarded.
         """
-        service = ServingService(self.config, self.dispatcher, self.open_request_ids)
+        service = ServingService(self.config, self.dispatcher, self.request_ids)
         return await self.forward(request, target, target, client, service)
 
     async def forward(
@@ -181,13 +184,15 @@
         Raises:
             BadRequestError: The request is rejected and not forwarded.
         """
-        config, dispatcher, open_request_ids = service
+        config, dispatcher, request_ids = service
         headers = request.headers
         received = parse_request(config.names, config.settings, request.method, path, headers)
         body = await self.read(request)
         request_id = headers[http_headers.REQUEST_ID]
-        if request_id in open_request_ids:  # an endpoint would treat it as a retry of the other
+        if request_id in request_ids.in_flight:  # an endpoint would treat it as a retry of the other
             raise BadRequestError(409, "a request with this id is in flight")
+        if request_ids.may_have_run(request_id, dispatcher.clock.now()):
+            raise BadRequestError(409, "a request with this id may have run")
         client.enter_state(ConnectionState.IN_FLIGHT)
         head = write_head(request.method, target, request._message.raw_headers, body)
         client_request = ClientRequest(
@@ -197,16 +202,32 @@
             client.arrivals.current_ms,
             has_client_disconnected=client.has_client_disconnected,
         )
-        open_request_ids.add(request_id)
+        request_ids.in_flight.add(request_id)
         try:
-            result = await dispatcher.submit(client_request)
-        except asyncio.CancelledError:
-            dispatcher.client_disconnected(client_request.request_id)
-            raise
+            pending = dispatcher.submit(client_request)
+            result = await self._response_or_disconnect(pending, client_request, request_id, service)
         finally:
-            open_request_ids.discard(request_id)
+            request_ids.in_flight.discard(request_id)
+        if request.method not in REPEATABLE_METHODS and _has_run(pending) and client.is_client_gone():
+            request_ids.abandon(request_id, dispatcher.clock.now())
         return _to_http_response(result)
 
+    async def _response_or_disconnect(
+        self,
+        pending: asyncio.Future[SendResponse],
+        client_request: ClientRequest,
+        request_id: str,
+        service: ServingService,
+    ) -> SendResponse:
+        """Waits for the final response; aiohttp cancels the wait when the client closes the connection."""
+        try:
+            return await pending
+        except asyncio.CancelledError:
+            service.dispatcher.client_disconnected(client_request.request_id)
+            if client_request.may_have_run or _has_run(pending):
+                service.request_ids.abandon(request_id, service.dispatcher.clock.now())
+            raise
+
     async def read(self, request: BaseRequest) -> bytes:
         """Reads a request's body without decoding it.
 
@@ -278,6 +299,13 @@
             await asyncio.sleep(CLOSING_POLL_INTERVAL_S)
 
 
+def _has_run(response: asyncio.Future[SendResponse]) -> bool:
+    """Whether a response was decided on that leaves open, or tells, that its request has run."""
+    if not response.done() or response.cancelled():
+        return False
+    return response.result().status != STATUS_REJECTED
+
+
 def _to_http_response(result: SendResponse) -> CompleteResponse:
     if result.response is not None:
         content_type, body = result.response
--- a/drumgw/gateway/request_parsing.py
+++ b/drumgw/gateway/request_parsing.py
@@ -54,6 +54,7 @@
         request_id: The same id; 0 until the request is submitted.
         has_client_disconnected: Returns whether the client has disconnected; called before each attempt's
             first byte.
+        may_have_run: Whether, when the client left, an endpoint may have run the request or may yet.
     """
 
     head: bytes
@@ -62,6 +63,7 @@
     arrived_at_ms: float
     request_id: int = 0
     has_client_disconnected: Callable[[], bool] = _not_disconnected
+    may_have_run: bool = False
 
 
 def write_head(method: str, target: str, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
--- a/drumgw/hosting/http_server.py
+++ b/drumgw/hosting/http_server.py
@@ -131,7 +131,7 @@
             return CompleteResponse(503, b"", f"Retry-After: {retry_after_ms / 1000:.3f}\r\n")
         self.tenant_limits.assign_tenant(client, service.key)
         gateway_service = service.gateway_service
-        serving = ServingService(gateway_service.config, gateway_service.dispatcher, service.open_request_ids)
+        serving = ServingService(gateway_service.config, gateway_service.dispatcher, service.request_ids)
         try:
             return await self.forward(request, target, route.path, client, serving)
         finally:
--- a/drumgw/hosting/tenant_service.py
+++ b/drumgw/hosting/tenant_service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from drumgw.gateway.request_ids import RequestIds
 from drumgw.gateway.service import GatewayService
 from drumgw.hosting.tenant_registry import Tenant
 
@@ -20,7 +21,7 @@
         key: the tenant's key.
         spec: the spec in use, as JSON.
         gateway_service: the policy engine, the dispatcher and the clients.
-        open_request_ids: ids of the tenant's requests in flight, shared with the service it replaces.
+        request_ids: ids that must not be forwarded again, shared with the service it replaces.
         is_ready: whether the endpoint list was received; no request is admitted before.
         in_flight: number of admitted requests that have not ended.
         admitted_count: number of requests admitted since its start.
@@ -33,7 +34,7 @@
         self.key = tenant.key
         self.spec = tenant.spec
         self.gateway_service = gateway_service
-        self.open_request_ids: set[str] = set()
+        self.request_ids = RequestIds()
         self.is_ready = False
         self.in_flight = 0
         self.admitted_count = 0
--- a/drumgw/hosting/tenant_services.py
+++ b/drumgw/hosting/tenant_services.py
@@ -200,8 +200,8 @@
 
     def _replace_service(self, tenant: Tenant, replaced: TenantService) -> None:
         replacement = self._create_service(tenant)
-        # A request id that is in flight at the replaced service must not be forwarded again by the new one.
-        replacement.open_request_ids = replaced.open_request_ids
+        # What the replaced service has forwarded must not be forwarded again by the new one.
+        replacement.request_ids = replaced.request_ids
         self._discard_replacement(tenant.name)
         self.replacements[tenant.name] = replacement
         self._spawn(self._run_until_ready(replacement))
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -169,7 +169,7 @@
             or dispatcher.lifecycle.in_flight
             or dispatcher.pending_requests
             or dispatcher.request_deadlines
-            or self.gateway.http_server.open_request_ids
+            or self.gateway.http_server.request_ids.in_flight
         )
 
     async def test_while_waiting_for_an_endpoint_connection(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -318,7 +318,8 @@
                 connection[1].write(data)
                 self.assertEqual(await asyncio.wait_for(connection[0].read(), 10), b"")  # reads until EOF
         self.assertEqual(
-            (self.gateway.http_server.limits.count(), self.gateway.http_server.open_request_ids), (0, set())
+            (self.gateway.http_server.limits.count(), self.gateway.http_server.request_ids.in_flight),
+            (0, set()),
         )
 
     async def test_idle_connections_are_closed_only_when_descriptors_are_scarce(self) -> None:
--- a/tests/test_process_races.py
+++ b/tests/test_process_races.py
@@ -181,7 +181,7 @@
             lambda: not (
                 gateway.dispatcher.lifecycle.in_flight
                 or gateway.endpoint_clients.in_flight
-                or gateway.http_server.open_request_ids
+                or gateway.http_server.request_ids.in_flight
             )
         )
         await self.close_gateway()
