Attempts that wait for a connection do not go to another process at the address

Cause: EndpointClients.set_address closed unused connections, but an attempt waiting for its connection went on; it was written to the new process. The same for an endpoint that was still listed while a later one had its address. Change: such attempts are withdrawn as not sent, after the policy engine knows of the change; AddressOwners tells which listed endpoint started last at an address, and the earlier one gets no attempts.

--- a/drumgw/gateway/discovery.py
+++ b/drumgw/gateway/discovery.py
@@ -33,7 +33,7 @@
     PollTimes,
 )
 from drumgw.gateway.dispatcher import Dispatcher
-from drumgw.gateway.endpoint_clients import EndpointClients
+from drumgw.gateway.endpoint_clients import AttemptKey, EndpointClients
 from drumgw.gateway.endpoint_list_reader import (
     EndpointListReader,
     MalformedEndpointListError,
@@ -350,14 +350,18 @@
     def _apply(self, change: MembershipChange, origin: str) -> None:
         """Passes changes to the policy engine and to the endpoint clients.
 
-        The policy engine must be informed of a drain before the endpoint's client is. The client returns
-        attempts that were not written yet, and the engine must not forward their requests to another endpoint
-        that drains by the same list.
+        The policy engine must be informed of a drain or a restart before attempts that were not written yet
+        are returned to it, as it must not forward their requests to another endpoint that drains by the same
+        list.
         """
+        replaced: list[AttemptKey] = []
         for row in change.ready:
-            self._endpoint_clients.set_address(row.info.endpoint_id, row.address, row.info.started_at_ms)
+            replaced += self._endpoint_clients.set_address(
+                row.info.endpoint_id, row.address, row.info.started_at_ms
+            )
         if change.update.endpoints or change.update.is_complete:
             self._dispatcher.post(self._dispatcher.lifecycle.endpoints_updated, change.update)
+        self._endpoint_clients.withdraw(replaced)
         for status in (EndpointStatus.DRAINING, EndpointStatus.REMOVED):
             for name in change.changes_by_status.get(status, ()):
                 is_removed = status is EndpointStatus.REMOVED
--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from typing import NamedTuple
@@ -16,6 +16,7 @@
 import aiohttp
 
 from drumgw.gateway import http_headers
+from drumgw.gateway.address_owners import AddressOwners
 from drumgw.gateway.commands import AbortAttempt, StartAttempt
 from drumgw.gateway.connection_pool import ConnectionPool
 from drumgw.gateway.dispatcher import Dispatcher
@@ -65,6 +66,7 @@
         address: host:port.
         connection_owner: Endpoint id and start time. Connections to the address are reused only while
             this stays the same.
+        started_at_ms: When the endpoint's process started; 0 for long ago.
         accepts_attempts: Whether new attempts may be sent to the endpoint.
         peer: Identifies the endpoint in the pool. Created when an attempt needs it, as one gateway sends to
             few of a thousand endpoints.
@@ -74,6 +76,7 @@
     def __init__(self) -> None:
         self.address = ""
         self.connection_owner = ""
+        self.started_at_ms = 0.0
         self.accepts_attempts = True
         self.peer: aiohttp.ClientRequest | None = None
         self.in_flight: dict[AttemptKey, tuple[asyncio.Task[None], Exchange]] = {}
@@ -97,6 +100,7 @@
         )
         self.clients: dict[int, EndpointClient] = {}
         self.in_flight: dict[AttemptKey, EndpointClient] = {}
+        self._owners = AddressOwners[EndpointClient]()
         self._dispatcher = dispatcher
         self._max_in_flight = config.max_endpoint_connections
         self._memory = ResponseMemory(config.memory.attempts_bytes, MAX_BODY_BYTES)
@@ -116,19 +120,40 @@
 
     # Called for changes of the endpoint list
 
-    def set_address(self, endpoint_id: int, address: str, started_at_ms: float | None) -> None:
+    def set_address(
+        self, endpoint_id: int, address: str, started_at_ms: float | None
+    ) -> tuple[AttemptKey, ...]:
         """Adds or updates an endpoint that accepts attempts.
 
         If the address or the start time changed, the unused connections are closed: an endpoint that started
         at the address of an earlier one must not receive requests on connections opened to that one.
+
+        Returns:
+            The attempts for the earlier process, also of an endpoint that is still listed at the address.
+            Those that are not written yet would reach the new one, so the caller passes them to `withdraw`
+            once the policy engine knows of the change.
         """
         client = self.clients.setdefault(endpoint_id, EndpointClient())
         connection_owner = f"{endpoint_id}-{started_at_ms or 0:.0f}"
+        replaced: tuple[AttemptKey, ...] = ()
         if (client.address, client.connection_owner) != (address, connection_owner):
             self._close_idle(client)
+            self._owners.release(client)
+            replaced = tuple(client.in_flight)
         client.address = address
         client.connection_owner = connection_owner
+        client.started_at_ms = started_at_ms or 0.0
         client.accepts_attempts = True
+        superseded = self._owners.take(client)
+        if superseded is None:
+            return replaced
+        self._close_idle(superseded)
+        return replaced + tuple(superseded.in_flight)
+
+    def withdraw(self, attempts: Iterable[AttemptKey]) -> None:
+        """Ends those of the attempts that are not fully written as `NOT_SENT`."""
+        for key in attempts:
+            self.withdraw_unsent(key.request_id, key.attempt)
 
     def drain(self, endpoint_id: int, is_removed: bool) -> None:
         """Stops sending attempts to an endpoint, and removes it if `is_removed`.
@@ -141,8 +166,8 @@
             return
         client.accepts_attempts = False
         self._close_idle(client)
-        for key in list(client.in_flight):
-            self.withdraw_unsent(key.request_id, key.attempt)
+        self._owners.release(client)
+        self.withdraw(tuple(client.in_flight))
 
     def _close_idle(self, client: EndpointClient) -> None:
         peer = client.peer
@@ -155,14 +180,15 @@
     def start_attempt(self, command: StartAttempt, request: ClientRequest) -> None:
         """Starts sending a request to an endpoint.
 
-        The attempt ends as `NOT_SENT` at once if the endpoint is draining or removed, or if the limit on
-        attempts in flight or on the memory of their responses is reached.
+        The attempt ends as `NOT_SENT` at once if the endpoint is draining or removed, if another one has
+        taken its address, or if the limit on attempts in flight or on the memory of their responses is
+        reached.
         """
         key = AttemptKey(command.request_id, command.attempt)
         client = self.clients.get(command.endpoint_id)
         in_flight_count = len(self.in_flight)
         is_full = in_flight_count >= self._max_in_flight or not self._memory.has_room(in_flight_count)
-        if client is None or not client.accepts_attempts or is_full:
+        if client is None or not client.accepts_attempts or self._owners.is_superseded(client) or is_full:
             self._report(key, AttemptResult(Outcome.NOT_SENT))
             return
         exchange = Exchange(command.write_deadline_ms, partial(self._check_client, request))
