Requests in flight at the earliest kill have their answer before it

Cause: the drain lasted as long as the longest deadline, while SIGKILL may come 0.7 s and at most 3 s after SIGTERM. Change: gateway/shutdown.py ends the drain 100 ms (a quarter of a shorter deadline) before the earliest kill: what is in flight then is answered as if its deadline had passed, and what is read after is rejected. Hosts use the same function.

--- a/drumgw/gateway/dispatcher.py
+++ b/drumgw/gateway/dispatcher.py
@@ -157,6 +157,11 @@
         self._process_mailbox()
         return response
 
+    def end_requests(self) -> None:
+        """Answers all requests as if their deadlines had passed."""
+        for request_id in list(self.pending_requests):
+            self.post(self.lifecycle.deadline_reached, request_id, None)
+
     def client_disconnected(self, request_id: int) -> None:
         """Handles a client's disconnect, and sets `may_have_run` of its request.
 
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -61,6 +61,7 @@
     Attributes:
         ready: Whether the readiness check succeeds.
         is_shutting_down: Whether each connection is closed after its response.
+        is_rejecting: Whether requests are rejected at once, as the process may be killed before they end.
         server: aiohttp's server, which holds the connections.
         request_ids: `Request-Id` values that must not be forwarded again.
         socket: The listening socket; None before `bind`.
@@ -74,6 +75,7 @@
         self.limits = limits or ConnectionLimits(config, dispatcher.clock)
         self.ready = False
         self.is_shutting_down = False
+        self.is_rejecting = False
         self.request_ids = RequestIds()
         self.socket: asyncio.Server | None = None
         self._accept_queue = AcceptQueue(dispatcher.clock)
@@ -136,6 +138,8 @@
         try:
             if target in (READINESS_PATH, LIVENESS_PATH):
                 response = CompleteResponse(200 if self.ready or target == LIVENESS_PATH else 503)
+            elif self.is_rejecting:
+                response = CompleteResponse(STATUS_REJECTED)
             else:
                 response = await self.serve(request, target, client)
         except BadRequestError as error:
--- a/drumgw/gateway/process.py
+++ b/drumgw/gateway/process.py
@@ -16,6 +16,7 @@
 from drumgw.gateway.membership import MAX_START_WAIT_MS
 from drumgw.gateway.process_config import ConfigError, GatewayConfig
 from drumgw.gateway.service import GatewayService
+from drumgw.gateway.shutdown import finish_requests
 from drumgw.gateway.signals import handle_signal, ignore_signals
 
 SHUTDOWN_LINGER_MS = 700.0
@@ -74,9 +75,10 @@
     async def close(self) -> None:
         """Accepts clients for SHUTDOWN_LINGER_MS more, finishes the requests in flight, then closes.
 
-        Requests in flight have the longest deadline of any request class to finish. Quota reservations that
-        were not used are returned to the counter.
+        Requests in flight have the longest deadline of any request class to finish, up to a limit
+        (`finish_requests`). Quota reservations that were not used are returned to the counter.
         """
+        linger_end_ms = self.clock.now() + SHUTDOWN_LINGER_MS
         self.http_server.withdraw_readiness()
         logger.info(
             "{} received SIGTERM: {} requests in flight",
@@ -84,7 +86,9 @@
             len(self.dispatcher.pending_requests),
         )
         await asyncio.sleep(SHUTDOWN_LINGER_MS / 1000)
-        await self.http_server.drain(self.clock.now() + self.config.longest_deadline_ms)
+        await finish_requests(
+            self.http_server, linger_end_ms, self.config.longest_deadline_ms, self.dispatcher.end_requests
+        )
         await self.service.return_reservations()
         await self.http_server.wait_until_closed()
         await self.http_server.server.shutdown(SERVER_SHUTDOWN_TIMEOUT_S)
--- a/drumgw/hosting/host_process.py
+++ b/drumgw/hosting/host_process.py
@@ -18,6 +18,7 @@
     parse_address,
     plan_memory,
 )
+from drumgw.gateway.shutdown import finish_requests
 from drumgw.gateway.signals import handle_signal, ignore_signals
 from drumgw.hosting.admin_api import MAX_CONCURRENT_CALLS, AdminApi
 from drumgw.hosting.authentication import ApiToken, Authenticator, Role
@@ -77,13 +78,16 @@
         """Shuts down gracefully.
 
         First, readiness is withdrawn and the API is closed. New clients are served for SHUTDOWN_LINGER_MS
-        more; then the requests in flight are completed, within the longest deadline of any tenant, and the
-        other components are closed.
+        more; then the requests in flight are completed, within the longest deadline of any tenant and a limit
+        (`finish_requests`), and the other components are closed.
         """
+        linger_end_ms = self.clock.now() + SHUTDOWN_LINGER_MS
         self.http_server.withdraw_readiness()
         await self.api.close()
         await asyncio.sleep(SHUTDOWN_LINGER_MS / 1000)
-        await self.http_server.drain(self.clock.now() + self.services.longest_deadline_ms())
+        await finish_requests(
+            self.http_server, linger_end_ms, self.services.longest_deadline_ms(), self.services.end_requests
+        )
         await self.http_server.wait_until_closed()
         await self.http_server.server.shutdown(SERVER_SHUTDOWN_TIMEOUT_S)
         await self.services.close()
--- a/drumgw/hosting/tenant_services.py
+++ b/drumgw/hosting/tenant_services.py
@@ -78,9 +78,17 @@
         """Closes all services; called when no request is in flight any more."""
         for task in list(self._tasks):
             task.cancel()
-        for service in {*self.services.values(), *self.replacements.values(), *self.closing}:
+        for service in self._open_services():
             await service.close()
 
+    def end_requests(self) -> None:
+        """Answers all requests in flight as if their deadlines had passed."""
+        for service in self._open_services():
+            service.gateway_service.dispatcher.end_requests()
+
+    def _open_services(self) -> set[TenantService]:
+        return {*self.services.values(), *self.replacements.values(), *self.closing}
+
     def longest_deadline_ms(self) -> float:
         """Returns the longest request deadline of any tenant; 0 without tenants."""
         return max(
