A body on a connection that was just closed is no internal error

Cause: a request waits for its turn; the connection is closed in the same turn of the loop, before aiohttp cancels the handler, which then reads the body. Change: that error on a closed connection counts as a body that cannot be read.

--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -252,6 +252,10 @@
             raise BadRequestError(status_of_payload_error(error), "the body can't be read") from error
         except ValueError as error:
             raise BadRequestError(400, "the body can't be read") from error
+        except RuntimeError as error:
+            if request.transport is not None:
+                raise
+            raise BadRequestError(400, "the connection was closed before the body was read") from error
 
     def _make_request(self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any) -> BaseRequest:
         protocol.arrivals.start_next()
