No request is forwarded while unread bytes may hide its client's close

Cause: a close arrives behind all that was sent before. What the kernel's buffer (512 KB) does not accept waits at the client's side, so neither poll nor read tells of the close. Change: a request with more unread behind it than half of the buffer is answered with 429 and the connection is closed; a further attempt then ends as for a client that has left. Half: a buffer that is not read on fills up if more is to come. (Answering 503 and going on was tried: 530 requests were forwarded, as a sender resumes only after 64 KB are free, or 0.2 s later.) Usual clients send one request at a time. Measured: the new test fails before (all of some thousand requests were being forwarded, time-out after 20 s).

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -33,6 +33,7 @@
 from drumgw.gateway.responses import CompleteResponse
 from drumgw.gateway.socket_watch import SocketWatch
 from drumgw.gateway.tcp_info import receive_ages
+from drumgw.gateway.unread_bytes import may_hide_close
 
 CLIENT_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -189,6 +190,11 @@
         transport = self.socket_transport
         return transport is None or transport.is_closing() or self.client_has_ended()
 
+    def may_hide_close(self) -> bool:
+        """Whether so many bytes are unread that the kernel may not know yet that the client has closed."""
+        transport = self.socket_transport
+        return transport is not None and may_hide_close(transport.get_extra_info("socket"))
+
     def defer_close_if_unread(self) -> bool:
         """Whether to postpone closing because of unread bytes; True at most once per state.
 
@@ -204,9 +210,9 @@
 
         Prevents attempts for clients that have disconnected. The event loop may lag by more than 0.1 s, and
         aiohttp stops reading while many pipelined requests of the connection wait, so it would not notice the
-        close.
+        close. A connection whose unread bytes may hide the close is closed as well.
         """
-        if not self.is_client_gone():
+        if not self.is_client_gone() and not self.may_hide_close():
             return False
         self.abort()  # the event loop cancels the handlers in its next iteration, even if reading is paused
         return True
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -197,6 +197,8 @@
             raise BadRequestError(409, "a request with this id is in flight")
         if request_ids.may_have_run(request_id, dispatcher.clock.now()):
             raise BadRequestError(409, "a request with this id may have run")
+        if client.may_hide_close():  # nothing may be sent for a client that has left
+            raise BadRequestError(429, "too many requests at once on this connection")
         client.enter_state(ConnectionState.IN_FLIGHT)
         head = write_head(request.method, target, request._message.raw_headers, body)
         client_request = ClientRequest(
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import socket
+from contextlib import suppress
 from typing import Any
 from unittest import mock
 
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
+from drumgw.gateway.http_server import RECEIVE_BUFFER_BYTES
 from drumgw.gateway.responses import CompleteResponse
 from tests.gateway_case import (
     POST_TARGET,
@@ -243,6 +245,27 @@
             self.assertEqual(request_count, 0 if first else 1, (first, reset))
             await self.close_gateway()
 
+    async def test_behind_more_unread_requests_than_the_kernel_accepts(self) -> None:
+        """The close waits at the client's side, so that the gateway cannot know of it."""
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address)
+        connection = self.open_client()
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * RECEIVE_BUFFER_BYTES)
+        sent_bytes = 0
+        with suppress(BlockingIOError):  # all of it arrives before the event loop runs again
+            for n in range(1_000_000):
+                sent_bytes += connection.sock.send(
+                    http_request(Request_Id=f"{n:x}", Request_Timeout="60000m")
+                )
+        connection.sock.shutdown(socket.SHUT_WR)
+        received = await connection.read_to_end()
+        self.assertGreater(sent_bytes, 3 * RECEIVE_BUFFER_BYTES)
+        self.assertIn(b" 429 ", received)
+        await wait_until(
+            lambda: self.is_everything_released() and not self.gateway.http_server.limits.count()
+        )
+        self.assertEqual(endpoint.requests, [])
+
     async def test_while_pipelined_requests_pause_reading(self) -> None:
         """The close comes after bytes that are not read yet; only the first request is forwarded.
 
