Log of what was shed for the limits, by reason, and of the memory plan

Change: one line in 5 s at most, with counts by reason and the resident memory; at the start one line with the limits on memory.

--- a/drumgw/gateway/connection_limits.py
+++ b/drumgw/gateway/connection_limits.py
@@ -13,6 +13,7 @@
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
 from drumgw.gateway.clock import MS_PER_S, STALL_THRESHOLD_MS, StallAwareClock
 from drumgw.gateway.process_config import CLIENT_IDLE_TIMEOUT_MS
+from drumgw.gateway.shedding import ShedReason, shed
 
 SWEEP_INTERVAL_S = CLIENT_IDLE_TIMEOUT_MS / 8.0 / MS_PER_S
 CLOSING_TIMEOUT_MS = CLIENT_IDLE_TIMEOUT_MS / 8.0
@@ -59,6 +60,7 @@
         sending anything cannot lock out others.
         """
         if self.count() >= self.bounds.max_client_connections:
+            shed[ShedReason.CONNECTION_LIMIT] += 1
             self.select_for_closing(client).abort()
         self.connections[ConnectionState.NEW][client] = None
 
@@ -152,6 +154,7 @@
             return
         idle = self.longest_idle()
         if idle is not None:
+            shed[ShedReason.SURPLUS_IDLE] += 1
             idle.send_last_response()
 
     # Limits on inactivity
@@ -178,6 +181,7 @@
                 break
             if client.defer_close_if_unread():
                 continue
+            shed[ShedReason.TIMED_OUT] += 1
             if state is ConnectionState.IDLE:
                 client.send_last_response()
             elif client.has_further_requests() and not client.has_unsent_data():
--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -26,6 +26,7 @@
 from drumgw.gateway.request_parsing import ClientRequest, parse_finite_number
 from drumgw.gateway.response_framing import RawResponse
 from drumgw.gateway.response_memory import ResponseMemory
+from drumgw.gateway.shedding import ShedReason, shed
 from drumgw.model.events import Outcome
 from drumgw.model.settings_reader import LOAD_REPORT_FIELDS
 
@@ -186,8 +187,7 @@
         """
         key = AttemptKey(command.request_id, command.attempt)
         client = self.clients.get(command.endpoint_id)
-        in_flight_count = len(self.in_flight)
-        is_full = in_flight_count >= self._max_in_flight or not self._memory.has_room(in_flight_count)
+        is_full = len(self.in_flight) >= self._max_in_flight or not self._has_memory()
         if client is None or not client.accepts_attempts or self._owners.is_superseded(client) or is_full:
             self._report(key, AttemptResult(Outcome.NOT_SENT))
             return
@@ -196,6 +196,12 @@
         client.in_flight[key] = task, exchange
         self.in_flight[key] = client
 
+    def _has_memory(self) -> bool:
+        has_memory = self._memory.has_room(len(self.in_flight))
+        if not has_memory:
+            shed[ShedReason.RESPONSE_MEMORY] += 1
+        return has_memory
+
     def abort_attempt(self, command: AbortAttempt) -> None:
         """Closes the attempt's connection at once; the unsent part of its request is discarded."""
         key = AttemptKey(command.request_id, command.attempt)
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -27,6 +27,7 @@
 from drumgw.gateway.request_ids import RequestIds
 from drumgw.gateway.request_parsing import BadRequestError, ClientRequest, parse_request, write_head
 from drumgw.gateway.responses import CompleteResponse
+from drumgw.gateway.shedding import ShedReason, shed
 
 READINESS_PATH = "/health/ready"
 LIVENESS_PATH = "/health/live"
@@ -194,10 +195,13 @@
         body = await self.read(request)
         request_id = headers[http_headers.REQUEST_ID]
         if request_id in request_ids.in_flight:  # an endpoint would treat it as a retry of the other
+            shed[ShedReason.REPEATED_ID] += 1
             raise BadRequestError(409, "a request with this id is in flight")
         if request_ids.may_have_run(request_id, dispatcher.clock.now()):
+            shed[ShedReason.REPEATED_ID] += 1
             raise BadRequestError(409, "a request with this id may have run")
         if client.may_hide_close():  # nothing may be sent for a client that has left
+            shed[ShedReason.UNREAD_REQUESTS] += 1
             raise BadRequestError(429, "too many requests at once on this connection")
         client.enter_state(ConnectionState.IN_FLIGHT)
         head = write_head(request.method, target, request._message.raw_headers, body)
--- a/drumgw/gateway/memory_plan.py
+++ b/drumgw/gateway/memory_plan.py
@@ -40,6 +40,14 @@
     unsent_bytes: int
     max_accounts: int
 
+    def describe(self) -> str:
+        """Returns the limits as part of a log line."""
+        return (
+            f"{self.unanswered_bytes // BYTES_PER_KB} KB of requests, "
+            f"{self.attempts_bytes // BYTES_PER_KB} KB of attempts, "
+            f"{self.unsent_bytes // BYTES_PER_KB} KB of unread responses, {self.max_accounts} quota accounts"
+        )
+
 
 def divide_memory(limit_bytes: int, own_bytes: int, connections: int) -> MemoryPlan:
     """Returns the limits of a process.
--- a/drumgw/gateway/process.py
+++ b/drumgw/gateway/process.py
@@ -16,6 +16,7 @@
 from drumgw.gateway.membership import MAX_START_WAIT_MS
 from drumgw.gateway.process_config import ConfigError, GatewayConfig
 from drumgw.gateway.service import GatewayService
+from drumgw.gateway.shedding import ShedLog
 from drumgw.gateway.shutdown import finish_requests
 from drumgw.gateway.signals import handle_signal, ignore_signals
 
@@ -46,6 +47,7 @@
         self.discovery = self.service.discovery
         self.http_server = HttpServer(config, self.dispatcher)
         self.stop_requested = asyncio.Event()
+        self._shed_log = ShedLog(asyncio.get_running_loop())
 
     async def open(self) -> tuple[str, int]:
         """Starts, and accepts clients once discovery has answered or MAX_START_WAIT_MS has passed.
@@ -70,6 +72,8 @@
             self.config.max_client_connections,
             self.config.max_endpoint_connections,
         )
+        logger.info("{} keeps at most: {}", self.config.name, self.config.memory.describe())
+        self._shed_log.start()
         return host, port
 
     async def close(self) -> None:
@@ -93,6 +97,7 @@
         await self.http_server.wait_until_closed()
         await self.http_server.server.shutdown(SERVER_SHUTDOWN_TIMEOUT_S)
         await self.service.close()
+        self._shed_log.close()
         logger.info(
             "{} exits: {} requests received, {} unfinished, invariant violations: {}",
             self.config.name,
--- a/drumgw/gateway/receive_budget.py
+++ b/drumgw/gateway/receive_budget.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from drumgw.gateway.shedding import ShedReason, shed
+
 PARSED_HEAD_BYTES = 2048
 """What a parsed head takes up beyond its fields: most of the memory of a short request."""
 FIELD_BYTES = 448
@@ -74,6 +76,7 @@
             largest = self._largest_partial_request()
             if largest is None:
                 return False
+            shed[ShedReason.PARTIAL_REQUEST] += 1
             self.release(largest)
             largest.reject_partial_request()
         return connection.unanswered_bytes < MAX_CONNECTION_BYTES or connection.is_receiving_request()
--- a/drumgw/gateway/send_budget.py
+++ b/drumgw/gateway/send_budget.py
@@ -9,6 +9,8 @@
 
 from typing import Protocol
 
+from drumgw.gateway.shedding import ShedReason, shed
+
 
 class SendingConnection(Protocol):
     """A connection with a response that is not sent completely."""
@@ -43,6 +45,7 @@
         self.total_bytes += unsent_bytes
         while self.total_bytes > self._max_total_bytes and len(self._unsent) > 1:
             oldest = next(iter(self._unsent))
+            shed[ShedReason.UNREAD_RESPONSE] += 1
             self.remove(oldest)
             oldest.abort_unsent()
 
--- a/drumgw/hosting/host_process.py
+++ b/drumgw/hosting/host_process.py
@@ -18,6 +18,7 @@
     parse_address,
     plan_memory,
 )
+from drumgw.gateway.shedding import ShedLog
 from drumgw.gateway.shutdown import finish_requests
 from drumgw.gateway.signals import handle_signal, ignore_signals
 from drumgw.hosting.admin_api import MAX_CONCURRENT_CALLS, AdminApi
@@ -49,6 +50,7 @@
         self.api = AdminApi(self.services, _authenticator(file))
         self.stop_requested = asyncio.Event()
         self._file = file
+        self._shed_log = ShedLog(asyncio.get_running_loop())
 
     async def open(self) -> tuple[Address, Address]:
         """Starts all components; returns the bound addresses of the listener and of the API.
@@ -72,6 +74,7 @@
             len(self.services.registry.tenants),
             "tenants stored in the state folder" if self.state_file else "no state folder, API is read-only",
         )
+        self._shed_log.start()
         return client_address, api_address
 
     async def close(self) -> None:
@@ -91,6 +94,7 @@
         await self.http_server.wait_until_closed()
         await self.http_server.server.shutdown(SERVER_SHUTDOWN_TIMEOUT_S)
         await self.services.close()
+        self._shed_log.close()
         logger.info("host {} has shut down", self._file.host.name)
 
     def reload_tokens(self, read_file: Callable[[], HostFile]) -> None:
--- a/tests/flood_case.py
+++ b/tests/flood_case.py
@@ -123,8 +123,8 @@
         self.process = gateway.process
         self.addAsyncCleanup(_kill, gateway.process)
         host, port = await gateway.wait_until_serving()
-        reading = asyncio.create_task(gateway.log.read())  # else its log would fill the pipe
-        self.addCleanup(reading.cancel)
+        self.log = asyncio.create_task(gateway.log.read())  # else its log would fill the pipe
+        self.addCleanup(self.log.cancel)
         return host, port
 
     async def flood(
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -43,6 +43,19 @@
         await self.check_memory(SMALLEST_LIMIT_MB, *floods, response_bytes=SMALL_RESPONSE_BYTES)
 
 
+class ShedLogTest(FloodCase):
+    """What an operator can learn from the log."""
+
+    async def test_the_log_tells_what_was_shed_and_the_memory(self) -> None:
+        address = await self.start_gateway(SMALLEST_LIMIT_MB)
+        await self.flood(address, Flood.PARTIAL_BODY, CROWD, FLOOD_S)
+        await self.stop_gateway()
+        log = (await self.log).decode()
+        self.assertRegex(
+            log, r"load shed: .*[1-9][0-9]* partial requests rejected for memory.*; \d+ MB resident"
+        )
+
+
 class CrowdDelayTest(FloodCase):
     """Requests of a usual client beside a crowd."""
 
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from drumgw.gateway.memory_plan import (
     ACCOUNT_BYTES,
@@ -17,6 +18,7 @@
 from drumgw.gateway.receive_budget import MAX_FIELDS, memory_of
 from drumgw.gateway.response_memory import ResponseMemory
 from drumgw.gateway.send_budget import SendBudget
+from drumgw.gateway.shedding import ShedReason, log_shed, shed
 from drumgw.gateway.turn_scheduler import PIECES_PER_TURN, TurnScheduler
 
 CONNECTIONS = 1000
@@ -116,3 +118,20 @@
         has_memory = True
         async with asyncio.timeout(1):
             await ran.wait()
+
+
+class ShedLogTest(unittest.TestCase):
+    """One line with the counts since the last one."""
+
+    def test_counts_are_logged_once_and_set_back(self) -> None:
+        shed.clear()
+        shed[ShedReason.PARTIAL_REQUEST] += 2
+        shed[ShedReason.UNREAD_RESPONSE] += 1
+        with mock.patch("drumgw.gateway.shedding.logger") as log:
+            log_shed()
+            log_shed()
+        (call,) = log.warning.call_args_list
+        self.assertEqual(
+            call.args[1],
+            "2 partial requests rejected for memory, 1 connections closed with unread responses, for memory",
+        )
