Tenants of a host share its memory limits of attempts and quota accounts

Cause: the limits follow from memory_mb of the process, but each tenant's service had all of them, so that many tenants together could exceed it. Change: the host divides them among its open services whenever one is started, replaced or closed. Requests and unread responses are limited at the one listener. Measured: the new test; before, each of five tenants had the whole limit (from the code: there was no way to ask).

--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -107,6 +107,10 @@
         self._memory = ResponseMemory(config.memory.attempts_bytes, MAX_BODY_BYTES)
         self._reads_load_reports = bool(config.settings.load_report_fields)
 
+    def limit_memory(self, max_bytes: int) -> None:
+        """Limits the memory of the responses to attempts in flight, from now on."""
+        self._memory.max_bytes = max_bytes
+
     async def close(self) -> None:
         """Closes all connections, also those of attempts in flight."""
         await self.pool.close()
--- a/drumgw/gateway/memory_plan.py
+++ b/drumgw/gateway/memory_plan.py
@@ -23,6 +23,7 @@
 MIN_ATTEMPTS_BYTES = 256 * BYTES_PER_KB
 MIN_UNSENT_BYTES = 128 * BYTES_PER_KB
 MIN_ACCOUNTS = 1024
+MIN_SHARED_ACCOUNTS = 64
 
 
 class MemoryPlan(NamedTuple):
@@ -40,6 +41,16 @@
     unsent_bytes: int
     max_accounts: int
 
+    def share(self, count: int) -> MemoryPlan:
+        """Returns the limits of each of several services that share this process.
+
+        Requests and unread responses stay whole: they are limited at the listener, which is one for all.
+        """
+        return self._replace(
+            attempts_bytes=max(MIN_ATTEMPTS_BYTES, self.attempts_bytes // count),
+            max_accounts=max(MIN_SHARED_ACCOUNTS, self.max_accounts // count),
+        )
+
     def describe(self) -> str:
         """Returns the limits as part of a log line."""
         return (
--- a/drumgw/gateway/response_memory.py
+++ b/drumgw/gateway/response_memory.py
@@ -19,10 +19,13 @@
     Args:
         max_bytes: Limit on the memory of all responses.
         largest_bytes: The largest response, expected until responses have been received.
+
+    Attributes:
+        max_bytes: The limit; may be changed.
     """
 
     def __init__(self, max_bytes: int, largest_bytes: int) -> None:
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._expected_bytes = float(largest_bytes)
 
     def record(self, byte_count: int) -> None:
@@ -31,4 +34,4 @@
 
     def has_room(self, attempts_in_flight: int) -> bool:
         """Whether one more attempt may be started beside these."""
-        return (attempts_in_flight + 1) * COPIES * self._expected_bytes <= self._max_bytes
+        return (attempts_in_flight + 1) * COPIES * self._expected_bytes <= self.max_bytes
--- a/drumgw/gateway/service.py
+++ b/drumgw/gateway/service.py
@@ -9,6 +9,7 @@
 from drumgw.gateway.discovery import DiscoveryClient
 from drumgw.gateway.dispatcher import Dispatcher
 from drumgw.gateway.endpoint_clients import EndpointClients
+from drumgw.gateway.memory_plan import MemoryPlan
 from drumgw.gateway.process_config import GatewayConfig
 from drumgw.gateway.request_lifecycle import RequestLifecycle
 from drumgw.model.events import EndpointsUpdated
@@ -34,7 +35,6 @@
         self.config = config
         self.clock = clock
         engine = PolicyEngine(config.seed, config.settings)
-        engine.accounts.max_accounts = config.memory.max_accounts
         lifecycle = RequestLifecycle(engine, config.settings)
         self.dispatcher = Dispatcher(
             lifecycle,
@@ -45,10 +45,22 @@
         self.endpoint_clients = EndpointClients(config, self.dispatcher)
         self.counter = CounterClient(config, self.dispatcher) if config.counter else None
         self.discovery = DiscoveryClient(config, self.dispatcher, self.endpoint_clients)
+        self._accounts = engine.accounts
+        self.limit_memory(config.memory)
         self.dispatcher.attempts = self.endpoint_clients
         self.dispatcher.counter = self.counter
         self.endpoint_clients.set_before_write_check(self.discovery.read_pending_updates)
 
+    @property
+    def max_accounts(self) -> int:
+        """How many quota accounts are kept at most."""
+        return self._accounts.max_accounts
+
+    def limit_memory(self, memory: MemoryPlan) -> None:
+        """Applies limits on attempts and accounts, from now on."""
+        self._accounts.max_accounts = memory.max_accounts
+        self.endpoint_clients.limit_memory(memory.attempts_bytes)
+
     def start(self) -> None:
         """Starts the policy engine with an empty endpoint list, which `discovery.start` fills later."""
         self.dispatcher.post(self.dispatcher.lifecycle.start, EndpointsUpdated(True, ()))
--- a/drumgw/hosting/host_process.py
+++ b/drumgw/hosting/host_process.py
@@ -46,7 +46,9 @@
         self.services = TenantServices(
             file, self.clock, _load_registry(file, self.state_file), self.state_file
         )
-        self.http_server = HostHttpServer(_listener_config(file, self.services.capacity), self.services)
+        listener = _listener_config(file, self.services.capacity)
+        self.services.limit_memory(listener.memory)
+        self.http_server = HostHttpServer(listener, self.services)
         self.api = AdminApi(self.services, _authenticator(file))
         self.stop_requested = asyncio.Event()
         self._file = file
--- a/drumgw/hosting/tenant_services.py
+++ b/drumgw/hosting/tenant_services.py
@@ -12,6 +12,7 @@
 
 from drumgw.config.host_file import MIN_ENDPOINT_CONNECTIONS, HostFile, TenantSpec, tenant_config
 from drumgw.gateway.clock import StallAwareClock
+from drumgw.gateway.memory_plan import MemoryPlan
 from drumgw.gateway.process_config import ConfigError, GatewayConfig
 from drumgw.gateway.service import GatewayService
 from drumgw.hosting.registry_persistence import registry_to_json
@@ -62,10 +63,26 @@
         self.replacements: dict[str, TenantService] = {}
         self.closing: set[TenantService] = set()
         self.awaiting_drain: dict[str, int] = {}
+        self._memory: MemoryPlan | None = None  # None until the listener's limits are known
         self._file = file
         self._tasks: set[asyncio.Task[Any]] = set()  # entries are removed as the tasks end
         self._change_lock = asyncio.Lock()
 
+    # Memory
+
+    def limit_memory(self, memory: MemoryPlan) -> None:
+        """Divides the limits of the process among the services, now and whenever their number changes."""
+        self._memory = memory
+        self._divide_memory()
+
+    def _divide_memory(self) -> None:
+        services = self._open_services()
+        if self._memory is None or not services:
+            return
+        shares = self._memory.share(len(services))
+        for service in services:
+            service.gateway_service.limit_memory(shares)
+
     # Start and stop
 
     def open(self) -> None:
@@ -159,6 +176,7 @@
         self.admission.set_weight(tenant.key, tenant.spec["weight"])
         service = self._create_service(tenant)
         self.services[tenant.name] = service
+        self._divide_memory()
         self._spawn(self._run_until_ready(service))
 
     def _create_service(self, tenant: Tenant) -> TenantService:
@@ -212,6 +230,7 @@
         replacement.request_ids = replaced.request_ids
         self._discard_replacement(tenant.name)
         self.replacements[tenant.name] = replacement
+        self._divide_memory()
         self._spawn(self._run_until_ready(replacement))
 
     def _remove_service(self, tenant: Tenant) -> None:
@@ -234,6 +253,7 @@
     async def _close_service(self, service: TenantService) -> None:
         await service.close()
         self.closing.discard(service)
+        self._divide_memory()
         logger.info("tenant {}: closed a service of serial {}", service.name, service.serial)
 
     # Requests
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -20,6 +20,7 @@
 from drumgw.gateway.send_budget import SendBudget
 from drumgw.gateway.shedding import ShedReason, log_shed, shed
 from drumgw.gateway.turn_scheduler import PIECES_PER_TURN, TurnScheduler
+from tests.hosting_harness import HostCase
 
 CONNECTIONS = 1000
 OWN_BYTES = 40 * BYTES_PER_MB
@@ -120,6 +121,24 @@
             await ran.wait()
 
 
+class TenantMemoryTest(HostCase):
+    """The tenants of a host share the limits of its process."""
+
+    async def test_the_accounts_of_all_tenants_together_fit_the_limit_of_the_process(self) -> None:
+        tenants = [await self.tenant(f"t{number}") for number in range(5)]
+        host = await self.start_host(*tenants)
+        most = host.http_server.config.memory.max_accounts
+        services = host.services.services
+
+        def account_limits() -> list[int]:
+            return [service.gateway_service.max_accounts for service in services.values()]
+
+        self.assertLessEqual(sum(account_limits()), most)
+        await self.call("DELETE", "/v1/tenants/t0", If_Match='"1"')
+        await self.wait_until_services_closed()
+        self.assertEqual(account_limits(), 4 * [most // 4])
+
+
 class ShedLogTest(unittest.TestCase):
     """One line with the counts since the last one."""
 
