--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -35,6 +35,10 @@
 from drumgw.gateway.tcp_info import receive_ages
 from drumgw.gateway.unread_bytes import may_hide_close
 
+UNSEEN_CLOSE_MS = 50.0
+"""Half of the time in which an attempt may still begin after its client's close (protocol).
+
+A request may wait this long after the previous response, and as long again until an attempt of it begins."""
 CLIENT_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -190,10 +194,16 @@
         transport = self.socket_transport
         return transport is None or transport.is_closing() or self.client_has_ended()
 
-    def may_hide_close(self) -> bool:
-        """Whether so many bytes are unread that the kernel may not know yet that the client has closed."""
+    def may_have_left_unseen(self) -> bool:
+        """Whether the client may have closed the connection for some time without the kernel's knowing it.
+
+        That takes so many unread bytes that the close may wait behind them. A response that is written to a
+        closed connection is answered with a reset, so the client was there when the state was last entered.
+        """
         transport = self.socket_transport
-        return transport is not None and may_hide_close(transport.get_extra_info("socket"))
+        if transport is None or self._registry.clock.now() - self.state_since_ms <= UNSEEN_CLOSE_MS:
+            return False
+        return may_hide_close(transport.get_extra_info("socket"))
 
     def defer_close_if_unread(self) -> bool:
         """Whether to postpone closing because of unread bytes; True at most once per state.
@@ -210,9 +220,9 @@
 
         Prevents attempts for clients that have disconnected. The event loop may lag by more than 0.1 s, and
         aiohttp stops reading while many pipelined requests of the connection wait, so it would not notice the
-        close. A connection whose unread bytes may hide the close is closed as well.
+        close.
         """
-        if not self.is_client_gone() and not self.may_hide_close():
+        if not self.is_client_gone():
             return False
         self.abort()  # the event loop cancels the handlers in its next iteration, even if reading is paused
         return True
--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -195,7 +195,7 @@
         if client is None or not client.accepts_attempts or self._owners.is_superseded(client) or is_full:
             self._report(key, AttemptResult(Outcome.NOT_SENT))
             return
-        exchange = Exchange(command.write_deadline_ms, partial(self._check_client, request))
+        exchange = Exchange(command.write_deadline_ms, partial(self._check_client, key, request))
         task = self._dispatcher.loop.create_task(self._run(key, command, request, client, exchange))
         client.in_flight[key] = task, exchange
         self.in_flight[key] = client
@@ -235,13 +235,17 @@
             self.abort_attempt(AbortAttempt(request_id, attempt))
             self._report(key, AttemptResult(Outcome.NOT_SENT))
 
-    def _check_client(self, request: ClientRequest) -> None:
+    def _check_client(self, key: AttemptKey, request: ClientRequest) -> None:
         """Ends the request if its client has closed the connection and the event loop has not noticed yet.
 
-        Called before the first byte of an attempt, so that nothing is sent for a disconnected client.
+        Called before the first byte of an attempt, so that nothing is sent for a disconnected client. If the
+        client may have left, only the attempt ends, and the request still gets its answer.
         """
         if request.has_client_disconnected():
             self._dispatcher.client_disconnected(request.request_id)
+        elif request.may_client_have_left():
+            shed[ShedReason.UNREAD_REQUESTS] += 1
+            self.withdraw_unsent(key.request_id, key.attempt)
 
     def _report(self, key: AttemptKey, result: AttemptResult) -> None:
         self._dispatcher.post(
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -200,7 +200,7 @@
         if request_ids.may_have_run(request_id, dispatcher.clock.now()):
             shed[ShedReason.REPEATED_ID] += 1
             raise BadRequestError(409, "a request with this id may have run")
-        if client.may_hide_close():  # nothing may be sent for a client that has left
+        if client.may_have_left_unseen():  # nothing may be sent for a client that has left
             shed[ShedReason.UNREAD_REQUESTS] += 1
             raise BadRequestError(429, "too many requests at once on this connection")
         client.enter_state(ConnectionState.IN_FLIGHT)
@@ -211,6 +211,7 @@
             received,
             client.arrivals.current_ms,
             has_client_disconnected=client.has_client_disconnected,
+            may_client_have_left=client.may_have_left_unseen,
         )
         request_ids.in_flight.add(request_id)
         try:
--- a/drumgw/gateway/request_parsing.py
+++ b/drumgw/gateway/request_parsing.py
@@ -54,6 +54,7 @@
         request_id: The same id; 0 until the request is submitted.
         has_client_disconnected: Returns whether the client has disconnected; called before each attempt's
             first byte.
+        may_client_have_left: Returns whether the client may have disconnected without a sign of it.
         may_have_run: Whether, when the client left, an endpoint may have run the request or may yet.
     """
 
@@ -63,6 +64,7 @@
     arrived_at_ms: float
     request_id: int = 0
     has_client_disconnected: Callable[[], bool] = _not_disconnected
+    may_client_have_left: Callable[[], bool] = _not_disconnected
     may_have_run: bool = False
 
 
--- a/drumgw/gateway/shedding.py
+++ b/drumgw/gateway/shedding.py
@@ -26,7 +26,7 @@
     CONNECTION_LIMIT = "connections closed at the limit"
     SURPLUS_IDLE = "idle connections closed beyond the limit of requesting clients"
     TIMED_OUT = "inactive connections closed"
-    UNREAD_REQUESTS = "connections closed behind more unread requests than the kernel accepts"
+    UNREAD_REQUESTS = "requests not sent on, as more is unread behind them than the kernel accepts"
     REPEATED_ID = "requests rejected whose id is in flight or may have run"
 
 
