--- a/drumgw/gateway/bounded_connection.py
+++ b/drumgw/gateway/bounded_connection.py
@@ -16,7 +16,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 from aiohttp.http import HttpProcessingError, RawRequestMessage
 from aiohttp.http_exceptions import BadHttpMessage
@@ -26,10 +26,9 @@
 from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
+from drumgw.gateway.connection_shares import ConnectionShares
 from drumgw.gateway.process_config import MAX_HEAD_BYTES
-from drumgw.gateway.receive_budget import ReceiveBudget, memory_of
-from drumgw.gateway.send_budget import SendBudget
-from drumgw.gateway.turn_scheduler import TurnScheduler
+from drumgw.gateway.receive_budget import memory_of
 
 READ_BYTES = 2 * 1024
 """Parsing this much takes a few milliseconds at worst, if it is all chunks of one byte."""
@@ -51,17 +50,6 @@
 HEADER_FORMAT_BYTES = len(b": \r\n")
 
 
-class ConnectionShares(NamedTuple):
-    """What the connections of a listener share."""
-
-    received: ReceiveBudget
-    unsent: SendBudget
-    reading: TurnScheduler
-    """Parses what was read; rests while there is no memory for further requests."""
-    handling: TurnScheduler
-    """Starts requests that waited behind others; never rests, as that frees the memory."""
-
-
 class PartialRequestRejectedError(RequestPayloadError):
     """The rest of a request's body is not read.
 
@@ -94,8 +82,6 @@
     __slots__ = (
         "unanswered_bytes",
         "shares",
-        "_budget",
-        "_unsent",
         "_unparsed",
         "_head_bytes",
         "_surplus_bytes",
@@ -110,8 +96,6 @@
         super().__init__(server, read_bufsize=BODY_BUFFER_BYTES, **kwargs)
         self.unanswered_bytes = 0
         self.shares = shares
-        self._budget = shares.received
-        self._unsent = shares.unsent
         self._unparsed = b""  # read, but waiting for a turn or for memory
         self._head_bytes = 0  # of the request whose head is incomplete, without `_surplus_bytes`
         self._surplus_bytes = 0  # of the read that ended the previous request; some may be of the next head
@@ -145,7 +129,7 @@
         Requests behind one without a response stay unparsed, as they would take up many times their bytes.
         Less than a full read needs no turn: its client has sent no more.
         """
-        if self._has_complete_request() or self._budget.is_exhausted:
+        if self._has_complete_request() or self.shares.received.is_exhausted:
             return True
         return byte_count >= READ_BYTES and not self.shares.reading.take_piece()
 
@@ -160,6 +144,8 @@
     def _parse_held(self) -> None:
         """Goes on with the bytes that had to wait, and then with reading."""
         data, self._unparsed = self._unparsed, b""
+        if not data:  # queued twice: an early response came while the rest of its request waited
+            return
         if self._has_stopped_reading or self._force_close or self._close:
             return
         self._parse_pieces(data)
@@ -221,7 +207,7 @@
         elif data:
             field_count = data.count(b"\n")
             self._check_partial_head(len(data))
-        if not self._budget.receive(self, memory_of(received_bytes, field_count, len(messages))):
+        if not self.shares.received.receive(self, memory_of(received_bytes, field_count, len(messages))):
             self._is_over_budget = True
             self._pause_transport_reading()
         if not is_upgrade_offered or self._has_stopped_reading:
@@ -329,9 +315,9 @@
         partial_count = 0 if self._last_payload.is_eof() else 1
         if len(self._messages) > partial_count:
             return
-        self._budget.release(self)
+        self.shares.received.release(self)
         if self._messages:
-            self._budget.receive(self, memory_of(self._last_payload.total_bytes))
+            self.shares.received.receive(self, memory_of(self._last_payload.total_bytes))
         else:
             self._is_answered = True
             if self._has_stopped_reading:
@@ -348,7 +334,7 @@
         """Drops all that was received; the connection reads no more and handles no further request."""
         self._has_stopped_reading = True
         self._unparsed = b""
-        self._budget.release(self)
+        self.shares.received.release(self)
         if self._waiter is None or not self._waiter.done():  # otherwise aiohttp is about to take a message
             self._messages.clear()
         self._parser = None
@@ -357,7 +343,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Drops all that was received."""
         super().connection_lost(exc)
-        self._unsent.remove(self)
+        self.shares.unsent.remove(self)
         self.release_all()
 
     # Responses that the client does not read
@@ -371,20 +357,20 @@
         """Counts a response that was not sent at once."""
         super().pause_writing()
         if self.transport is not None:
-            self._unsent.add(self)
+            self.shares.unsent.add(self)
 
     def resume_writing(self) -> None:
         """Stops counting it once it is sent."""
         super().resume_writing()
-        self._unsent.remove(self)
+        self.shares.unsent.remove(self)
 
     def unsent_bytes(self) -> int:
         """Returns the size of the write buffer."""
         transport = self.transport
         return 0 if transport is None else transport.get_write_buffer_size()
 
-    def abort_unsent(self) -> None:
-        """Closes the connection of a client that does not read."""
+    def abort(self) -> None:
+        """Closes the connection at once, without flushing."""
         transport = self.transport
         self.force_close()
         if transport is not None:
--- a/drumgw/gateway/bounded_server.py
+++ b/drumgw/gateway/bounded_server.py
@@ -8,7 +8,8 @@
 
 from aiohttp.web_server import Server
 
-from drumgw.gateway.bounded_connection import READ_BYTES, BoundedConnection, ConnectionShares
+from drumgw.gateway.bounded_connection import READ_BYTES, BoundedConnection
+from drumgw.gateway.connection_shares import ConnectionShares
 from drumgw.gateway.receive_budget import ReceiveBudget
 from drumgw.gateway.send_budget import SendBudget
 from drumgw.gateway.turn_scheduler import TurnScheduler
--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -27,8 +27,9 @@
 from aiohttp.web_server import Server
 
 from drumgw.gateway.accept_queue import AcceptQueue
-from drumgw.gateway.bounded_connection import BoundedConnection, ConnectionShares
+from drumgw.gateway.bounded_connection import BoundedConnection
 from drumgw.gateway.clock import STALL_THRESHOLD_MS, StallAwareClock
+from drumgw.gateway.connection_shares import ConnectionShares
 from drumgw.gateway.request_arrivals import RequestArrivals, ends_with_request
 from drumgw.gateway.responses import CompleteResponse
 from drumgw.gateway.socket_watch import SocketWatch
@@ -144,9 +145,9 @@
         otherwise keep the connection open.
         """
         self._registry.unregister(self)
-        self.force_close()
+        super().abort()
         if self.socket_transport is not None:
-            self.socket_transport.abort()
+            self.socket_transport.abort()  # aiohttp may have dropped its reference before
 
     def send_last_response(self, response: bytes = b"") -> None:
         """Writes the last response, if any, shuts down the sending side and stops reading.
--- a/drumgw/gateway/own_memory.py
+++ b/drumgw/gateway/own_memory.py
@@ -6,8 +6,9 @@
 import resource
 from pathlib import Path
 
+from drumgw.gateway.memory_plan import BYTES_PER_KB
+
 STATM_PATH = Path("/proc/self/statm")
-BYTES_PER_KB = 1024
 
 
 def resident_bytes() -> int:
--- a/drumgw/gateway/send_budget.py
+++ b/drumgw/gateway/send_budget.py
@@ -18,8 +18,8 @@
     def unsent_bytes(self) -> int:
         """Returns the size of the part that is not sent."""
 
-    def abort_unsent(self) -> None:
-        """Closes the connection at once; must call `SendBudget.remove`."""
+    def abort(self) -> None:
+        """Closes the connection at once, without flushing; it must leave the budget then."""
 
 
 class SendBudget:
@@ -47,7 +47,7 @@
             oldest = next(iter(self._unsent))
             shed[ShedReason.UNREAD_RESPONSE] += 1
             self.remove(oldest)
-            oldest.abort_unsent()
+            oldest.abort()
 
     def remove(self, connection: SendingConnection) -> None:
         """Stops counting a connection: its response is sent, or it is closed."""
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -69,7 +69,7 @@
     def unsent_bytes(self) -> int:
         return self.byte_count
 
-    def abort_unsent(self) -> None:
+    def abort(self) -> None:
         self.is_aborted = True
 
 
