--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -405,7 +405,8 @@
 
     Attributes:
         status: 0 if there was no whole answer.
-        how: why there was none: `refused`, `closed unread`, `closed` or `late`.
+        how: why there was none: `refused`; `reset` or `ended`, without any byte of an answer; `cut`; `late`.
+        is_new: whether the connection was opened for it.
     """
 
     def __init__(self, request_id: str, status: int, body: bytes, sent_at: float, ended_at: float, how: str = "") -> None:
@@ -415,6 +416,7 @@
         self.sent_at = sent_at
         self.ended_at = ended_at
         self.how = how
+        self.is_new = False
 
 
 class Client:
@@ -460,7 +462,7 @@
                 writer.transport.abort()
                 continue
             result = await self._send(request_id, message, reader, writer, wait_s)
-            if result.how != "closed unread" or not self.sends_again:
+            if result.how not in ("reset", "ended") or not self.sends_again:
                 return result
             self.record.line(f"again {request_id} on a new connection")
             break
@@ -469,11 +471,14 @@
         except OSError:
             return Result(request_id, 0, b"", sent_at, now(), "refused")
         writer.transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return await self._send(request_id, message, reader, writer, wait_s)
+        self.record.line(f"open  {request_id} on a new connection")
+        result = await self._send(request_id, message, reader, writer, wait_s)
+        result.is_new = True
+        return result
 
     async def _send(self, request_id: str, message: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, wait_s: float) -> Result:
         sent_at = now()
-        began = False
+        began = was_reset = False
 
         def first() -> None:
             nonlocal began
@@ -486,11 +491,13 @@
         except TimeoutError:
             writer.transport.abort()
             return Result(request_id, 0, b"", sent_at, now(), "late")
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError) as error:
             read = None
+            was_reset = isinstance(error, OSError)
         if read is None:
             writer.transport.abort()
-            return Result(request_id, 0, b"", sent_at, now(), "closed" if began else "closed unread")
+            how = "cut" if began else "reset" if was_reset else "ended"
+            return Result(request_id, 0, b"", sent_at, now(), how)
         line, headers, body = read
         if headers.get("connection", "").lower() == "close":
             writer.close()
