Answers of peers without end are bounded and share the turns of the event loop

Cause: uvloop reads 256 KB of a connection at a time, and libuv repeats that up to 32 times in one turn of the event loop. A probe with such a peer saw turns of 2,275 ms with 32 reads (8,000 KB), the longest read 77 ms; on asyncio's own loop, which reads once a turn, 83 ms. Nothing limited the 1xx heads of a response, so this went on until the client's deadline.

Change: connections to endpoints, counter and discovery read 16 KB at a time and parse for 2 ms at most; the rest waits, with reading paused, in a queue of which each turn takes two entries (the scheduler that client connections already use). The framer costs constant time a byte (a body in small reads was copied again for each read), and a response has a bound in each part: 1xx heads together 16 KB, a complete head 16 KB too, the framing of chunks 32 KB and five bytes for each byte of the body, so that no valid body of 1-byte chunks is refused. Reading pending lists before an attempt keeps to the same 2 ms. The error of an abandoned call to discovery is no longer logged by asyncio. Exchange and BoundedReader have modules of their own.

Empty lines from a client were bounded already; a flood of them is now among the tests.

--- a/drumgw/gateway/bounded_connection.py
+++ b/drumgw/gateway/bounded_connection.py
@@ -27,7 +27,7 @@
 from aiohttp.web_server import Server
 
 from drumgw.gateway.connection_shares import ConnectionShares
-from drumgw.gateway.process_config import MAX_HEAD_BYTES
+from drumgw.gateway.process_config import MAX_FRAMING_BYTES, MAX_HEAD_BYTES
 from drumgw.gateway.receive_budget import memory_of
 
 READ_BYTES = 2 * 1024
@@ -36,8 +36,6 @@
 """aiohttp stops reading a body while twice this size of it is waiting to be read by the request's handler."""
 PIECE_BYTES = 512
 """Few requests fit in one. What a client sends at once is parsed in pieces of this size."""
-MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
-"""Limit on the chunk sizes, chunk extensions and trailers of a body."""
 
 ParsedRequest = tuple[RawRequestMessage, StreamReader]
 """A head and its body, as aiohttp's parser returns them."""
--- a/drumgw/gateway/connection_pool.py
+++ b/drumgw/gateway/connection_pool.py
@@ -17,11 +17,14 @@
 import aiohttp
 from yarl import URL
 
+from drumgw.gateway.bounded_reader import read_buffer
 from drumgw.gateway.clock import StallAwareClock, Timer
-from drumgw.gateway.peer_connection import Exchange, PeerConnection, do_nothing
+from drumgw.gateway.exchange import Exchange, do_nothing
+from drumgw.gateway.peer_connection import READ_BYTES, PeerConnection
 from drumgw.gateway.peer_errors import WriteDeadlineError
 from drumgw.gateway.process_config import MAX_BODY_BYTES
 from drumgw.gateway.response_framing import RawResponse
+from drumgw.gateway.turn_scheduler import TurnScheduler
 
 REUSE_DELAY_MS = 10.0
 """How long a connection stays unused after a response: surplus bytes that a peer sends after its response
@@ -70,7 +73,13 @@
             reuse = {"keepalive_timeout": keep_alive_ms / 1000.0}
         self.connector = aiohttp.TCPConnector(limit=max_connections, use_dns_cache=False, **reuse)
         self.connector._factory = partial(  # type: ignore[assignment]
-            PeerConnection, self.loop, self.connections, max_body_bytes, self._start_response_timer
+            PeerConnection,
+            self.loop,
+            self.connections,
+            max_body_bytes,
+            self._start_response_timer,
+            TurnScheduler(self.loop),
+            read_buffer(READ_BYTES),
         )
 
     def peer(self, address: str, owner: str | None = None) -> aiohttp.ClientRequest:
--- a/drumgw/gateway/counter_client.py
+++ b/drumgw/gateway/counter_client.py
@@ -19,7 +19,8 @@
 from drumgw.gateway.clock import Timer
 from drumgw.gateway.connection_pool import ConnectionPool
 from drumgw.gateway.dispatcher import Dispatcher
-from drumgw.gateway.peer_connection import Exchange, PeerConnection
+from drumgw.gateway.exchange import Exchange
+from drumgw.gateway.peer_connection import PeerConnection
 from drumgw.gateway.peer_errors import CONNECTION_ERRORS
 from drumgw.gateway.process_config import MAX_COUNTER_CONNECTIONS, GatewayConfig
 from drumgw.gateway.request_parsing import parse_finite_number
--- a/drumgw/gateway/discovery.py
+++ b/drumgw/gateway/discovery.py
@@ -39,8 +39,8 @@
     MalformedEndpointListError,
     endpoint_id_of,
 )
+from drumgw.gateway.exchange import Exchange
 from drumgw.gateway.membership import KNOWN_LIST_AFTER_MS, Membership, MembershipChange
-from drumgw.gateway.peer_connection import Exchange
 from drumgw.gateway.process_config import ConfigError, GatewayConfig
 from drumgw.gateway.response_framing import RawResponse
 from drumgw.model.events import EndpointStatus
--- a/drumgw/gateway/discovery_poll.py
+++ b/drumgw/gateway/discovery_poll.py
@@ -54,3 +54,4 @@
         """Fails the call, unless it has finished."""
         if not self.finished.done():
             self.finished.set_exception(error)
+            self.finished.exception()  # else asyncio logs it if the call was abandoned in the same turn
--- a/drumgw/gateway/endpoint_clients.py
+++ b/drumgw/gateway/endpoint_clients.py
@@ -20,7 +20,7 @@
 from drumgw.gateway.commands import AbortAttempt, StartAttempt
 from drumgw.gateway.connection_pool import ConnectionPool
 from drumgw.gateway.dispatcher import Dispatcher
-from drumgw.gateway.peer_connection import Exchange
+from drumgw.gateway.exchange import Exchange
 from drumgw.gateway.peer_errors import CONNECTION_ERRORS, WriteDeadlineError
 from drumgw.gateway.process_config import MAX_BODY_BYTES, GatewayConfig
 from drumgw.gateway.request_parsing import ClientRequest, parse_finite_number
--- a/drumgw/gateway/peer_connection.py
+++ b/drumgw/gateway/peer_connection.py
@@ -1,8 +1,12 @@
 """A connection to a peer, and the exchange of one request for its response.
 
 `PeerConnection` replaces aiohttp's `ResponseHandler` in the connector. It delivers each response through a
-callback, in the event loop iteration that reads its last byte, and closes the connection on the first bytes
+callback, in the event loop iteration that parses its last byte, and closes the connection on the first bytes
 that are malformed or unsolicited.
+
+A peer may send as fast as it can, and without end. What it sends is therefore read in pieces of READ_BYTES,
+and parsed for at most PARSE_S at a time. The rest waits for a turn of the event loop (`turn_scheduler`), and
+reading is paused until then.
 """
 
 from __future__ import annotations
@@ -10,18 +14,25 @@
 import asyncio
 import os
 import select
+import time
 from collections.abc import Callable
-from math import inf
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpProcessingError
 
+from drumgw.gateway.bounded_reader import BoundedReader
 from drumgw.gateway.clock import Timer
 from drumgw.gateway.peer_errors import MalformedResponseError
 from drumgw.gateway.response_framing import RawResponse, ResponseFramer
+from drumgw.gateway.turn_scheduler import TurnScheduler
 
-READ_BYTES = 256 * 1024
+READ_BYTES = 16 * 1024
+"""How much of a connection is read at once."""
+PIECE_BYTES = 2 * 1024
+"""How much is parsed between two looks at the clock: a millisecond's work, if all chunks have one byte."""
+PARSE_S = 0.002
+"""How long the bytes of one connection are parsed before others have their turn."""
 
 
 class PeerConnection(ResponseHandler):
@@ -39,6 +50,8 @@
         open_connections: set[PeerConnection],
         max_body_bytes: int,
         start_response_timer: Callable[[Callable[[], None]], Timer | None],
+        turns: TurnScheduler,
+        read_buffer: memoryview,
     ) -> None:
         """Creates the protocol; the connector then connects it to a transport.
 
@@ -48,6 +61,8 @@
             max_body_bytes: Longest body of a response.
             start_response_timer: Starts the timer for the rest of a response that has begun; returns None if
                 that time is not limited.
+            turns: Shared by the connections of a pool.
+            read_buffer: Shared by the connections of a pool; of READ_BYTES.
         """
         super().__init__(loop)
         self.on_response: Callable[[RawResponse], None] | None = None
@@ -55,6 +70,10 @@
         self.framer = ResponseFramer(self, loop, max_body_bytes)
         self._open_connections = open_connections
         self._start_response_timer = start_response_timer
+        self._turns = turns
+        self._read_buffer = read_buffer
+        self._unparsed = b""  # read, but waiting for a turn; reading is paused meanwhile
+        self._is_queued = False  # for a turn
         self._expected_responses = 0
         self._response_timer: Timer | None = None
         self._peer_sent_eof = False  # not set by a reset or a close from this side
@@ -66,6 +85,7 @@
         # With a limit of 0, `writing_paused` is set exactly while part of a request is still buffered here.
         # It stays set if that part is never sent.
         transport.set_write_buffer_limits(0)  # type: ignore[attr-defined]
+        transport.set_protocol(BoundedReader(self, self._read_buffer))
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._open_connections.add(self)
 
@@ -87,24 +107,82 @@
         self._expected_responses += 1
 
     def read_pending(self) -> None:
-        """Reads pending bytes from the socket without waiting for the event loop.
+        """Reads and parses pending bytes without waiting for the event loop, for PARSE_S at most.
 
         The end or failure of the connection is left for the event loop to detect.
         """
+        end_s = time.monotonic() + PARSE_S
+        while self.is_usable() and time.monotonic() < end_s:
+            data = self._take_unparsed() or self._read_from_socket()
+            if not data:
+                return
+            self._parse(data, end_s)
+
+    def _read_from_socket(self) -> bytes:
         transport = self.transport
-        if transport is None or transport.is_closing() or not self._has_unread_bytes():
-            return
+        if transport is None or not self._has_unread_bytes():
+            return b""
         try:
-            data = os.read(transport.get_extra_info("socket").fileno(), READ_BYTES)
+            return os.read(transport.get_extra_info("socket").fileno(), READ_BYTES)
         except OSError:
-            return
-        if data:
-            self.data_received(data)
+            return b""
 
     def data_received(self, data: bytes) -> None:
-        """Delivers each response that the new bytes complete."""
+        """Parses the bytes, now or in a later turn. A small read needs no turn: its peer has sent no more."""
+        if self._unparsed:
+            self._unparsed += data
+        elif len(data) <= PIECE_BYTES or self._turns.take_piece():
+            self._parse(data, time.monotonic() + PARSE_S)
+        else:
+            self._wait_for_turn(data)
+
+    def _wait_for_turn(self, data: bytes) -> None:
+        """Keeps bytes for a later turn, and reads no more until then."""
+        assert self.transport is not None
+        self._unparsed = data
+        self.transport.pause_reading()
+        if not self._is_queued:
+            self._is_queued = True
+            self._turns.add(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Goes on with the bytes that had to wait, and then with reading."""
+        self._is_queued = False
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        transport.resume_reading()
+        self._parse(self._take_unparsed(), time.monotonic() + PARSE_S)
+
+    def _take_unparsed(self) -> bytes:
+        data, self._unparsed = self._unparsed, b""
+        return data
+
+    def _parse(self, data: bytes, end_s: float) -> None:
+        """Parses bytes and delivers each response that they complete; keeps the rest once the time is over.
+
+        Args:
+            data: The bytes that follow those parsed before.
+            end_s: When to stop, by `time.monotonic`; at least one piece is parsed.
+        """
+        position = 0
+        while position < len(data) and self.is_usable():
+            if position and time.monotonic() >= end_s and self._expected_responses:
+                self._wait_for_turn(data[position:])
+                break
+            piece_bytes = max(PIECE_BYTES, self.framer.missing_body_bytes)
+            if not self._parse_piece(data[position : position + piece_bytes]):
+                return
+            position += piece_bytes
+        if not self.framer.is_within_response and not self._unparsed:
+            self._cancel_response_timer()
+        elif self._response_timer is None:
+            self._response_timer = self._start_response_timer(self._response_stalled)
+
+    def _parse_piece(self, piece: bytes) -> bool:
+        """Parses a piece; returns False if it was malformed or unsolicited, and the connection aborted."""
         framer = self.framer
-        framer.feed(data)
+        framer.feed(piece)
         try:
             while framer.has_data:
                 if not self._expected_responses:
@@ -117,16 +195,14 @@
                 self._deliver(response)
         except (aiohttp.ClientError, HttpProcessingError) as error:
             self.abort_with(error)
-            return
-        if not framer.is_within_response:
-            self._cancel_response_timer()
-        elif self._response_timer is None:
-            self._response_timer = self._start_response_timer(self._response_stalled)
+            return False
+        return True
 
     def abort_with(self, error: BaseException) -> None:
         """Closes the connection at once and passes the error to `on_error`."""
         self.force_close()
         self.framer.discard()
+        self._unparsed = b""
         self.abort()
         self._report_error(error)
 
@@ -142,6 +218,7 @@
         close from this side it may be truncated, so it is not delivered.
         """
         self._open_connections.discard(self)
+        self._unparsed = b""
         if self._peer_sent_eof and exc is None:
             response = self.framer.end_of_stream()
             if response is not None:
@@ -178,46 +255,3 @@
         self._cancel_response_timer()
         if on_error is not None:
             on_error(error)
-
-
-def do_nothing() -> None:
-    """Default for `before_write` callbacks."""
-
-
-class Exchange:
-    """A request in flight and its response. Closing the exchange closes its connection at once.
-
-    Attributes:
-        connection: The connector's handle, from the time the connection is established until it is released.
-        written: Whether the complete request was written: from then on the peer may have processed it.
-        write_deadline_ms: Deadline for sending the request's last byte; afterwards no more of it is sent.
-        before_write: Called before the request's first byte; it may close the exchange.
-        timer: Enforces the write deadline while part of the request is still buffered.
-    """
-
-    __slots__ = ("connection", "written", "write_deadline_ms", "timer", "before_write")
-
-    def __init__(self, write_deadline_ms: float = inf, before_write: Callable[[], None] = do_nothing) -> None:
-        self.before_write = before_write
-        self.connection: aiohttp.connector.Connection | None = None
-        self.written = False
-        self.write_deadline_ms = write_deadline_ms
-        self.timer: Timer | None = None
-
-    def close(self) -> None:
-        """Aborts the connection, which then cannot be reused. Has no effect once it was released."""
-        self.cancel_timer()
-        connection = self.connection
-        self.connection = None
-        if connection is None:
-            return
-        transport = connection.transport
-        if transport is not None:
-            transport.abort()
-        connection.close()
-
-    def cancel_timer(self) -> None:
-        """Cancels the timer of the write deadline, if it is running."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
--- a/drumgw/gateway/process_config.py
+++ b/drumgw/gateway/process_config.py
@@ -26,6 +26,8 @@
 """Largest body of a request or response (protocol)."""
 MAX_HEAD_BYTES = MAX_BODY_BYTES // 4
 """Largest head of a request or response: start line and header fields."""
+MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
+"""Limit on the chunk sizes, chunk extensions and trailers of a body."""
 CLIENT_IDLE_TIMEOUT_MS = 2000.0
 """A client's connection without a request in flight may be closed after this time (protocol)."""
 DEFAULT_SOCKETS = 1024
--- a/drumgw/gateway/response_framing.py
+++ b/drumgw/gateway/response_framing.py
@@ -5,7 +5,11 @@
 by stray bytes, and keeps unsolicited bytes as the next response.
 
 Parsing has two states: while `message` is None, a head is expected, and afterwards its body. A body ends
-after `Content-Length` bytes, with its last chunk, or, if it has neither, when the connection ends.
+after `Content-Length` bytes, with its last chunk, or, if it has neither, when the connection ends. Any number
+of 1xx heads may come before the final one.
+
+Whatever a peer sends, each byte costs constant time, and each part of a response has a limit: the 1xx heads
+together, the final head, the body, and the framing of a chunked body.
 """
 
 from __future__ import annotations
@@ -20,7 +24,7 @@
 
 from drumgw.gateway.http_headers import HEAD_END
 from drumgw.gateway.peer_errors import MalformedResponseError
-from drumgw.gateway.process_config import MAX_HEAD_BYTES
+from drumgw.gateway.process_config import MAX_FRAMING_BYTES, MAX_HEAD_BYTES
 
 HEAD_START = b"HTTP/1."
 SWITCHING_PROTOCOLS = 101
@@ -32,6 +36,8 @@
 It exceeds what a single read returns, so aiohttp never pauses the connection."""
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 """Starts a parser that only decodes the chunks of a body."""
+MIN_FRAMING_PER_CHUNK = len(b"1\r\n\r\n")
+"""Framing of a chunk of one byte. A body may come in such chunks."""
 MAX_TRAILERS = 16
 MAX_TRAILER_BYTES = MAX_HEAD_BYTES // MAX_TRAILERS
 """Largest trailer. aiohttp keeps all trailers of a chunked body."""
@@ -59,8 +65,11 @@
         self._protocol: BaseProtocol | None = protocol  # None once closed
         self._loop = loop
         self._max_body_bytes = max_body_bytes
-        self._buffer = b""  # size limited to one head and one body
+        self._buffer = bytearray()  # size limited to one head and one body
+        self._searched_bytes = 0  # of the buffer, which do not hold the end of a head
+        self._informational_bytes = 0  # of the 1xx heads before the final one
         self._body_length: int | None = 0  # None: until the connection ends, or chunked
+        self._chunked_bytes = 0  # of a chunked body, with its framing
         self._chunk_parser: HttpResponseParser | None = None
         self._chunked_body: aiohttp.StreamReader | None = None
         self._decoded_body = bytearray()  # of a chunked body
@@ -78,9 +87,16 @@
         """Whether a response has been received in part."""
         return bool(self._buffer) or self.message is not None
 
+    @property
+    def missing_body_bytes(self) -> int:
+        """How many further bytes need no parsing, as they are part of a body with a length."""
+        if self.message is None or self._body_length is None or self._chunk_parser is not None:
+            return 0
+        return self._body_length - len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Adds received bytes to the buffer."""
-        self._buffer = self._buffer + data if self._buffer else data
+        self._buffer += data
 
     def next_response(self) -> RawResponse | None:
         """Parses the next response from the buffer.
@@ -108,13 +124,11 @@
         """Handles the end of the peer's stream; returns the response that it completes, if any."""
         if self.message is None or self._body_length is not None or self._chunk_parser is not None:
             return None
-        body = self._buffer
-        self._buffer = b""
-        return self._complete(body)
+        return self._complete(self._take(len(self._buffer)))
 
     def discard(self) -> None:
         """Discards what was received of an incomplete response."""
-        self._buffer = b""
+        self._buffer.clear()
         self._end_response()
 
     def close(self) -> None:
@@ -123,29 +137,53 @@
         self._protocol = None
         self._head_parser = None
 
+    def _take(self, byte_count: int) -> bytes:
+        """Removes bytes from the start of the buffer. A `bytearray` does so without moving the rest."""
+        taken = bytes(self._buffer[:byte_count])
+        del self._buffer[:byte_count]
+        self._searched_bytes = 0
+        return taken
+
     def _read_head(self) -> bool:
-        end = self._buffer.find(HEAD_END) + len(HEAD_END)
-        if end < len(HEAD_END):
-            too_long = len(self._buffer) > MAX_HEAD_BYTES
-            if too_long or not HEAD_START.startswith(self._buffer[: len(HEAD_START)]):
-                raise MalformedResponseError("response head is too long or not HTTP/1.x")
+        """Reads a head, if it is complete; returns whether it was."""
+        head_bytes = self._find_head_end()
+        if max(head_bytes, self._searched_bytes) > MAX_HEAD_BYTES:
+            raise MalformedResponseError("response head is too long")
+        if not head_bytes:
+            if not HEAD_START.startswith(self._buffer[: len(HEAD_START)]):
+                raise MalformedResponseError("response head is not HTTP/1.x")
             return False
-        head = self._buffer[:end]
-        self._buffer = self._buffer[end:]
         assert self._head_parser is not None
-        messages, upgraded, _ = self._head_parser.feed_data(head)
+        messages, upgraded, _ = self._head_parser.feed_data(self._take(head_bytes))
         if len(messages) != 1 or upgraded:
             raise MalformedResponseError("response head is invalid or switches protocols")
         message = messages[0][0]
         if message.code == SWITCHING_PROTOCOLS:
             raise MalformedResponseError("response switches protocols (101)")
-        if message.code >= FIRST_FINAL_STATUS:  # a 1xx response precedes the final response
+        if message.code >= FIRST_FINAL_STATUS:
             self._begin_body(message)
+        else:
+            self._add_informational(head_bytes)
         return True
 
+    def _find_head_end(self) -> int:
+        """Returns the length of the head at the start of the buffer; 0 if its end has not come."""
+        end = self._buffer.find(HEAD_END, max(0, self._searched_bytes - len(HEAD_END)))
+        if end >= 0:
+            return end + len(HEAD_END)
+        self._searched_bytes = len(self._buffer)
+        return 0
+
+    def _add_informational(self, head_bytes: int) -> None:
+        """Counts a 1xx head. Nothing else ends a response that consists of them without end."""
+        self._informational_bytes += head_bytes
+        if self._informational_bytes > MAX_HEAD_BYTES:
+            raise MalformedResponseError("too many 1xx heads before the final one")
+
     def _begin_body(self, message: RawResponseMessage) -> None:
         declared = message.headers.get("Content-Length")
         self.message = message
+        self._chunked_bytes = 0
         self._body_length = int(declared) if declared else None
         if message.code in STATUSES_WITHOUT_BODY:
             self._body_length = 0
@@ -175,23 +213,25 @@
             if len(self._buffer) > self._max_body_bytes:
                 raise MalformedResponseError("response body exceeds the size limit")
             return None
-        body = self._buffer[: self._body_length]
-        self._buffer = self._buffer[self._body_length :]
-        return self._complete(body)
+        return self._complete(self._take(self._body_length))
 
     def _read_chunks(
         self, parser: HttpResponseParser, chunked_body: aiohttp.StreamReader
     ) -> RawResponse | None:
-        data = self._buffer
-        self._buffer = b""
+        data = self._take(len(self._buffer))
+        self._chunked_bytes += len(data)
         try:
             parser.feed_data(data)
         except HttpProcessingError:
             if not chunked_body.is_eof():
                 raise
             self.reusable = False  # stray bytes after the last chunk; the response itself is valid
-        if chunked_body.total_bytes > self._max_body_bytes:
+        body_bytes = chunked_body.total_bytes
+        if body_bytes > self._max_body_bytes:
             raise MalformedResponseError("chunked response body exceeds the size limit")
+        framing_bytes = self._chunked_bytes - body_bytes
+        if framing_bytes > MAX_FRAMING_BYTES + MIN_FRAMING_PER_CHUNK * body_bytes:
+            raise MalformedResponseError("too much framing of a chunked response body")
         # Taken out after each read: aiohttp keeps the position of every chunk until its bytes are taken.
         self._decoded_body += chunked_body.read_nowait()
         if not chunked_body.is_eof():
@@ -206,6 +246,8 @@
 
     def _end_response(self) -> None:
         self.message = None
+        self._searched_bytes = 0
+        self._informational_bytes = 0
         self._chunk_parser = None
         self._chunked_body = None
         self._decoded_body = bytearray()
--- a/drumgw/gateway/turn_scheduler.py
+++ b/drumgw/gateway/turn_scheduler.py
@@ -1,8 +1,8 @@
 """Divides the event loop's turns among the connections that have more work than others.
 
-A connection whose client sends as much as it can is read and served a piece in a turn, and takes its place
-in a queue for the next piece. Only a few pieces are processed in each turn of the event loop, so that the
-requests of other clients, which need no queue, wait for a few pieces at most, however many clients do this.
+A connection whose client or peer sends as much as it can is read and served a piece in a turn, and takes its
+place in a queue for the next piece. Only a few pieces are processed in each turn of the event loop, so that
+other connections, which need no queue, wait for a few pieces at most, however many do this.
 """
 
 from __future__ import annotations
--- a/tests/flood_clients.py
+++ b/tests/flood_clients.py
@@ -26,6 +26,7 @@
     """What a client sends."""
 
     REQUEST_LINE = "a request line that never ends"
+    EMPTY_LINES = "a request, and then empty lines without end"
     HEADER = "one header that never ends"
     HEADERS = "a head with ever more headers"
     BODY = "a body of 60 MB"
@@ -89,6 +90,9 @@
     if flood is Flood.REQUEST_LINE:
         yield b"GET /a?account="
         yield from itertools.repeat(filler)
+    elif flood is Flood.EMPTY_LINES:
+        yield _request(GET_LINE + USUAL_HEADERS)
+        yield from itertools.repeat((BLOCK_BYTES // 2) * b"\r\n")
     elif flood is Flood.HEADER:
         yield GET_LINE + b"X-Note: "
         yield from itertools.repeat(filler)
--- a/tests/test_bounded_connections.py
+++ b/tests/test_bounded_connections.py
@@ -6,10 +6,9 @@
 import socket
 from unittest import mock
 
-from drumgw.gateway.bounded_connection import MAX_FRAMING_BYTES
 from drumgw.gateway.client_connections import ClientConnection
 from drumgw.gateway.peer_connection import PeerConnection
-from drumgw.gateway.process_config import MAX_BODY_BYTES, MAX_HEAD_BYTES, ConfigError
+from drumgw.gateway.process_config import MAX_BODY_BYTES, MAX_FRAMING_BYTES, MAX_HEAD_BYTES, ConfigError
 from drumgw.gateway.receive_budget import MAX_CONNECTION_BYTES
 from tests.flood_case import FloodCase
 from tests.flood_clients import ANSWERED_FLOODS, Flood, blocks
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -91,6 +91,7 @@
             Flood.REFUSED_NEW_CUSTOMERS,
             Flood.UNSOUND_NEW_CUSTOMERS,
             Flood.PIPELINE,
+            Flood.EMPTY_LINES,
         ):
             with self.subTest(flood=flood):
                 await self.check_delay(flood, 1)
