An id that may have run is not forwarded again, whatever came of its request

Cause: an id was known only while in flight, or if its client had left before the response. It was forgotten when the response was decided, one client's way before the client has it; a copy that is sent until then needs one more way to the gateway.

Change: the id of each request that may have run is kept for 60 s after its end, whatever the end and the method. The lifecycle, which knows the attempts, decides whether it may have run and says so in SendResponse: a status of 503 does not tell, as a repeatable request may be rejected after it has run. An id is also taken when the head has come: a copy could overtake an original with a slow body, be served, and have the original rejected.

--- a/drumgw/gateway/commands.py
+++ b/drumgw/gateway/commands.py
@@ -49,6 +49,8 @@
     """How long a rejected client should wait before it retries; 0 if unknown."""
     response: Any
     """The response as the attempt transport reported it; None unless the request succeeded."""
+    may_have_run: bool = True
+    """Whether an endpoint may have run the request; a request that is safe to repeat may be rejected then."""
 
 
 class ScheduleDeadline(NamedTuple):
--- a/drumgw/gateway/dispatcher.py
+++ b/drumgw/gateway/dispatcher.py
@@ -227,8 +227,10 @@
 
     def _send_response(self, command: SendResponse) -> None:
         pending = self.pending_requests.pop(command.request_id, None)
-        if pending is not None and not pending.response.done():
-            pending.response.set_result(command)
+        if pending is not None:
+            pending.request.may_have_run = command.may_have_run
+            if not pending.response.done():
+                pending.response.set_result(command)
         self._cancel_deadline_if_finished(command.request_id)
 
     def _cancel_deadline_if_finished(self, request_id: int) -> None:
--- a/drumgw/gateway/http_server.py
+++ b/drumgw/gateway/http_server.py
@@ -24,18 +24,17 @@
 from drumgw.gateway.connection_limits import CLOSING_POLL_INTERVAL_S, ConnectionLimits
 from drumgw.gateway.dispatcher import Dispatcher
 from drumgw.gateway.process_config import MAX_BODY_BYTES, ConfigError, GatewayConfig
-from drumgw.gateway.request_ids import RequestIds
+from drumgw.gateway.request_ids import RepeatedIdError, RequestIds
 from drumgw.gateway.request_parsing import BadRequestError, ClientRequest, parse_request, write_head
 from drumgw.gateway.responses import CompleteResponse
 from drumgw.gateway.shedding import ShedReason, shed
+from drumgw.model.events import RequestReceived
 
 READINESS_PATH = "/health/ready"
 LIVENESS_PATH = "/health/live"
 LISTEN_BACKLOG = 1024
 RECEIVE_BUFFER_BYTES = 256 * 1024
 """The kernel's buffer of a connection. A client's close is noticed only if all that it sent before fits."""
-REPEATABLE_METHODS = ("GET",)
-"""Methods of the request classes that are safe to repeat (protocol)."""
 REQUIRED_IDLE_POLLS = 2
 """Consecutive polls without pending responses before the drain ends.
 
@@ -77,7 +76,7 @@
         self.ready = False
         self.is_shutting_down = False
         self.is_rejecting = False
-        self.request_ids = RequestIds()
+        self.request_ids = RequestIds(config.memory.max_kept_ids)
         self.socket: asyncio.Server | None = None
         self._accept_queue = AcceptQueue(dispatcher.clock)
         self.server = BoundedServer(
@@ -190,22 +189,37 @@
             BadRequestError: The request is rejected and not forwarded.
         """
         config, dispatcher, request_ids = service
-        headers = request.headers
-        received = parse_request(config.names, config.settings, request.method, path, headers)
-        body = await self.read(request)
-        request_id = headers[http_headers.REQUEST_ID]
-        if request_id in request_ids.in_flight:  # an endpoint would treat it as a retry of the other
-            shed[ShedReason.REPEATED_ID] += 1
-            raise BadRequestError(409, "a request with this id is in flight")
-        if request_ids.may_have_run(request_id, dispatcher.clock.now()):
+        received = parse_request(config.names, config.settings, request.method, path, request.headers)
+        request_id = request.headers[http_headers.REQUEST_ID]
+        try:
+            request_ids.claim(request_id, dispatcher.clock.now())
+        except RepeatedIdError as error:
             shed[ShedReason.REPEATED_ID] += 1
-            raise BadRequestError(409, "a request with this id may have run")
+            raise BadRequestError(409, str(error)) from error
+        client_request: ClientRequest | None = None
+        try:
+            client_request = await self._receive(request, target, received, client)
+            pending = dispatcher.submit(client_request)
+            return _to_http_response(await _response_or_disconnect(pending, client_request, dispatcher))
+        finally:
+            may_have_run = client_request is not None and client_request.may_have_run
+            request_ids.release(request_id, dispatcher.clock.now(), may_have_run)
+
+    async def _receive(
+        self, request: BaseRequest, target: str, received: RequestReceived, client: ClientConnection
+    ) -> ClientRequest:
+        """Receives the rest of a request, and returns what is submitted.
+
+        Raises:
+            BadRequestError: The request is rejected and not forwarded.
+        """
+        body = await self.read(request)
         if client.may_have_left_unseen():  # nothing may be sent for a client that has left
             shed[ShedReason.UNREAD_REQUESTS] += 1
             raise BadRequestError(429, "too many requests at once on this connection")
         client.enter_state(ConnectionState.IN_FLIGHT)
         head = write_head(request.method, target, request._message.raw_headers, body)
-        client_request = ClientRequest(
+        return ClientRequest(
             head,
             body,
             received,
@@ -213,31 +227,6 @@
             has_client_disconnected=client.has_client_disconnected,
             may_client_have_left=client.may_have_left_unseen,
         )
-        request_ids.in_flight.add(request_id)
-        try:
-            pending = dispatcher.submit(client_request)
-            result = await self._response_or_disconnect(pending, client_request, request_id, service)
-        finally:
-            request_ids.in_flight.discard(request_id)
-        if request.method not in REPEATABLE_METHODS and _has_run(pending) and client.is_client_gone():
-            request_ids.abandon(request_id, dispatcher.clock.now())
-        return _to_http_response(result)
-
-    async def _response_or_disconnect(
-        self,
-        pending: asyncio.Future[SendResponse],
-        client_request: ClientRequest,
-        request_id: str,
-        service: ServingService,
-    ) -> SendResponse:
-        """Waits for the final response; aiohttp cancels the wait when the client closes the connection."""
-        try:
-            return await pending
-        except asyncio.CancelledError:
-            service.dispatcher.client_disconnected(client_request.request_id)
-            if client_request.may_have_run or _has_run(pending):
-                service.request_ids.abandon(request_id, service.dispatcher.clock.now())
-            raise
 
     async def read(self, request: BaseRequest) -> bytes:
         """Reads a request's body without decoding it.
@@ -314,11 +303,15 @@
             await asyncio.sleep(CLOSING_POLL_INTERVAL_S)
 
 
-def _has_run(response: asyncio.Future[SendResponse]) -> bool:
-    """Whether a response was decided on that leaves open, or tells, that its request has run."""
-    if not response.done() or response.cancelled():
-        return False
-    return response.result().status != STATUS_REJECTED
+async def _response_or_disconnect(
+    pending: asyncio.Future[SendResponse], client_request: ClientRequest, dispatcher: Dispatcher
+) -> SendResponse:
+    """Waits for the final response; aiohttp cancels the wait when the client closes the connection."""
+    try:
+        return await pending
+    except asyncio.CancelledError:
+        dispatcher.client_disconnected(client_request.request_id)
+        raise
 
 
 def _to_http_response(result: SendResponse) -> CompleteResponse:
--- a/drumgw/gateway/request_ids.py
+++ b/drumgw/gateway/request_ids.py
@@ -1,46 +1,75 @@
 """The `Request-Id` values that must not be forwarded again. Does no I/O and reads no clock.
 
-An id names one request. While that is in flight, a second request with its id would be taken for a retry by
-an endpoint. Once its client has left before the response, an attempt may have run or may yet run, so the same
-id on another connection would run the request twice.
+An id names one request, and a client's retry brings a new one. While a request is in flight, a second one
+with its id would be taken for a retry by an endpoint. Once it may have run, the same id would make it run
+twice, also after its response was decided: a copy may have been sent before that response reached the client,
+and may still be on its way. The id of a request that cannot have run may be used again.
 """
 
 from __future__ import annotations
 
+from drumgw.gateway.shedding import ShedReason, shed
+
 RETENTION_MS = 60_000.0
-"""How long an id is kept after its client has left. No deadline and no connection time-out is longer."""
-MAX_ABANDONED = 4096
-"""Limit on the ids kept; the oldest is dropped first."""
+"""How long an id is kept after its request has ended. No deadline and no connection time-out is longer."""
+
+
+class RepeatedIdError(Exception):
+    """The id belongs to another request, which is in flight or may have run."""
 
 
 class RequestIds:
-    """The ids of the requests in flight, and those whose client left while an endpoint may have run them.
+    """The ids of the requests in flight, and of those that have ended and may have run.
+
+    Args:
+        max_kept: How many ids of requests that have ended are kept; beyond that the oldest is dropped.
 
     Attributes:
-        in_flight: The ids of the requests in flight.
+        in_flight: The ids of the requests in flight, also while a request's body is being received.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_kept: int) -> None:
         self.in_flight: set[str] = set()
-        self._abandoned_ms: dict[int, float] = {}  # by hash, the oldest first: an id may be long
+        self._max_kept = max_kept
+        self._ended_ms: dict[int, float] = {}  # by hash, the oldest first: an id may be long
+
+    def limit(self, max_kept: int) -> None:
+        """Changes how many ids of requests that have ended are kept."""
+        self._max_kept = max_kept
+        self._drop_surplus()
 
-    def abandon(self, request_id: str, now_ms: float) -> None:
-        """Keeps an id whose client has left before the response, as its request may have run."""
+    def claim(self, request_id: str, now_ms: float) -> None:
+        """Registers the id of a request whose head has been received.
+
+        Raises:
+            RepeatedIdError: An earlier request with this id is in flight or may have run.
+        """
+        if request_id in self.in_flight:
+            raise RepeatedIdError("a request with this id is in flight")
+        ended_ms = self._ended_ms.get(hash(request_id))
+        if ended_ms is not None and now_ms - ended_ms < RETENTION_MS:
+            raise RepeatedIdError("a request with this id may have run")
+        self.in_flight.add(request_id)
+
+    def release(self, request_id: str, now_ms: float, may_have_run: bool) -> None:
+        """Registers that a request has ended, with or without a response; keeps its id if it may have run."""
+        self.in_flight.discard(request_id)
+        if not may_have_run:
+            return
         self._drop_expired(now_ms)
         key = hash(request_id)
-        self._abandoned_ms.pop(key, None)
-        self._abandoned_ms[key] = now_ms
-        if len(self._abandoned_ms) > MAX_ABANDONED:
-            del self._abandoned_ms[next(iter(self._abandoned_ms))]
-
-    def may_have_run(self, request_id: str, now_ms: float) -> bool:
-        """Whether an earlier request with this id may have run, and its client left before the response."""
-        abandoned_ms = self._abandoned_ms.get(hash(request_id))
-        return abandoned_ms is not None and now_ms - abandoned_ms < RETENTION_MS
+        self._ended_ms.pop(key, None)
+        self._ended_ms[key] = now_ms
+        self._drop_surplus()
 
     def _drop_expired(self, now_ms: float) -> None:
-        while self._abandoned_ms:
-            key, abandoned_ms = next(iter(self._abandoned_ms.items()))
-            if now_ms - abandoned_ms < RETENTION_MS:
+        while self._ended_ms:
+            key, ended_ms = next(iter(self._ended_ms.items()))
+            if now_ms - ended_ms < RETENTION_MS:
                 return
-            del self._abandoned_ms[key]
+            del self._ended_ms[key]
+
+    def _drop_surplus(self) -> None:
+        while len(self._ended_ms) > self._max_kept:
+            del self._ended_ms[next(iter(self._ended_ms))]
+            shed[ShedReason.REQUEST_IDS] += 1
--- a/drumgw/gateway/request_lifecycle.py
+++ b/drumgw/gateway/request_lifecycle.py
@@ -303,7 +303,9 @@
 
     def _respond(self, request: InFlightRequest, status: int, retry_after_ms: float, response: Any) -> None:
         request.awaits_response = False
-        self._commands.append(SendResponse(request.request_id, status, retry_after_ms, response))
+        self._commands.append(
+            SendResponse(request.request_id, status, retry_after_ms, response, request.may_have_run)
+        )
 
     def _abort_attempt(self, now: float, request: InFlightRequest, attempt: int, outcome: Outcome) -> None:
         if attempt in request.attempts:
--- a/drumgw/gateway/request_parsing.py
+++ b/drumgw/gateway/request_parsing.py
@@ -55,7 +55,8 @@
         has_client_disconnected: Returns whether the client has disconnected; called before each attempt's
             first byte.
         may_client_have_left: Returns whether the client may have disconnected without a sign of it.
-        may_have_run: Whether, when the client left, an endpoint may have run the request or may yet.
+        may_have_run: Whether an endpoint may have run the request or may yet; False only if it is known when
+            the response is decided or the client leaves that none has and none will.
     """
 
     head: bytes
@@ -65,7 +66,7 @@
     request_id: int = 0
     has_client_disconnected: Callable[[], bool] = _not_disconnected
     may_client_have_left: Callable[[], bool] = _not_disconnected
-    may_have_run: bool = False
+    may_have_run: bool = True
 
 
 def write_head(method: str, target: str, headers: Iterable[tuple[bytes, bytes]], body: bytes) -> bytes:
--- a/drumgw/gateway/shedding.py
+++ b/drumgw/gateway/shedding.py
@@ -28,6 +28,7 @@
     TIMED_OUT = "inactive connections closed"
     UNREAD_REQUESTS = "requests not sent on, as more is unread behind them than the kernel accepts"
     REPEATED_ID = "requests rejected whose id is in flight or may have run"
+    REQUEST_IDS = "ids of ended requests dropped early, for memory"
 
 
 shed: Counter[ShedReason] = Counter()
--- a/drumgw/hosting/tenant_service.py
+++ b/drumgw/hosting/tenant_service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from drumgw.gateway.memory_plan import MemoryPlan
 from drumgw.gateway.request_ids import RequestIds
 from drumgw.gateway.service import GatewayService
 from drumgw.hosting.tenant_registry import Tenant
@@ -34,13 +35,18 @@
         self.key = tenant.key
         self.spec = tenant.spec
         self.gateway_service = gateway_service
-        self.request_ids = RequestIds()
+        self.request_ids = RequestIds(gateway_service.config.memory.max_kept_ids)
         self.is_ready = False
         self.in_flight = 0
         self.admitted_count = 0
         self.rejected_count = 0
         self._on_idle: Callable[[], object] | None = None
 
+    def limit_memory(self, memory: MemoryPlan) -> None:
+        """Applies limits on attempts, accounts and kept ids, from now on."""
+        self.gateway_service.limit_memory(memory)
+        self.request_ids.limit(memory.max_kept_ids)
+
     def begin_request(self) -> None:
         """Counts an admitted request as in flight."""
         self.in_flight += 1
--- a/drumgw/hosting/tenant_services.py
+++ b/drumgw/hosting/tenant_services.py
@@ -81,7 +81,7 @@
             return
         shares = self._memory.share(len(services))
         for service in services:
-            service.gateway_service.limit_memory(shares)
+            service.limit_memory(shares)
 
     # Start and stop
 
