A request with two Request-Id headers is rejected, as with every header that is single

Cause: headers are read by the first value of their name, and forwarded as received.

Change: a list of the headers that a request has once at most, in http_headers; a second one gets 400.

Measured: test_an_id_in_flight_is_not_forwarded_behind_another_id and six cases of malformed requests fail without the check.

--- a/drumgw/gateway/http_headers.py
+++ b/drumgw/gateway/http_headers.py
@@ -5,6 +5,8 @@
 HEAD_END = b"\r\n\r\n"
 """Follows the last header of a request or response."""
 
+HOST = "Host"
+
 # Request headers sent by clients
 REQUEST_ID = "Request-Id"
 PLAN = "Plan"
@@ -12,6 +14,9 @@
 QUOTA_INFO = "Quota-Info"
 CLIENT_RETRY = "Client-Retry"
 
+SINGLE_REQUEST_HEADERS = (HOST, REQUEST_ID, PLAN, REQUEST_TIMEOUT, QUOTA_INFO, CLIENT_RETRY)
+"""Headers that a request has once at most: of two values an endpoint may use another than the gateway."""
+
 # Fields of Quota-Info, and the query parameter that holds the customer id
 QUOTA_UNITS = "units"
 QUOTA_GATEWAY_COUNT = "spread"
--- a/drumgw/gateway/request_parsing.py
+++ b/drumgw/gateway/request_parsing.py
@@ -8,6 +8,8 @@
 from math import isfinite
 from typing import NamedTuple
 
+from multidict import MultiMapping
+
 from drumgw.gateway import http_headers
 from drumgw.model.events import RequestReceived
 from drumgw.model.settings import GatewaySettings, Idempotency
@@ -88,7 +90,7 @@
 
 
 def parse_request(
-    names: NameIndex, settings: GatewaySettings, method: str, target: str, headers: Mapping[str, str]
+    names: NameIndex, settings: GatewaySettings, method: str, target: str, headers: MultiMapping[str]
 ) -> RequestReceived:
     """Parses and validates the fields of a request.
 
@@ -96,7 +98,7 @@
     and endpoints that reject the malformed request would be classified as outliers.
 
     Raises:
-        BadRequestError: A field is missing, malformed or unknown.
+        BadRequestError: A field is missing, repeated, malformed or unknown.
     """
     if method not in METHODS:
         raise BadRequestError(405, "no such method")
@@ -105,6 +107,9 @@
     is_idempotent = settings.request_classes[request_class].idempotency is Idempotency.IDEMPOTENT
     if (method == "GET") != is_idempotent:
         raise BadRequestError(405, "not this request class's method")
+    for name in http_headers.SINGLE_REQUEST_HEADERS:
+        if len(headers.getall(name, ())) > 1:
+            raise BadRequestError(400, f"{name} is repeated")
     if not REQUEST_ID_PATTERN.fullmatch(headers.get(http_headers.REQUEST_ID, "")):
         raise BadRequestError(400, "Request-Id is missing or invalid")
     plan = _read_plan(names, headers)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -237,6 +237,9 @@
             (400, {"Quota_Info": "units=-1,spread=1,first=0"}),
             (400, {"target": "/a?account=00000002b4d65521"}),
             (400, {"Request_Id": "a b"}),
+            *((400, {name.lower(): "1"}) for name in ("Host", "Request_Id", "Plan", "Quota_Info")),
+            (400, {"request_timeout": "900m"}),
+            (400, {"Client_Retry": "1", "client_retry": "1"}),
             *(
                 (400, {"Quota_Info": f"units={units},spread={gateway_count},first={first}"})
                 for units, gateway_count, first in (
--- a/tests/test_repeated_request_ids.py
+++ b/tests/test_repeated_request_ids.py
@@ -163,6 +163,20 @@
         self.assertIn(b"200 OK", await first.read(b"ok"))
         self.assertEqual(len(endpoint.requests), 1)
 
+    async def test_an_id_in_flight_is_not_forwarded_behind_another_id(self) -> None:
+        """Regression: of two Request-Id headers the first was checked, and both were forwarded."""
+        endpoint = await self.open_with_pending_response()
+        first = self.send()
+        await wait_until(lambda: endpoint.requests)
+        for first_id, second_id in (("another", REQUEST_ID), (REQUEST_ID, "another")):
+            connection = self.open_client()
+            copy = http_request(POST_TARGET, "POST", b"{}", Request_Id=first_id, request_id=second_id)
+            connection.write(copy)
+            self.assertIn(b" 400 ", await connection.read(b"\r\n\r\n"))
+        self.response.set_result(http_response(b"ok"))
+        self.assertIn(b"200 OK", await first.read(b"ok"))
+        self.assertEqual(len(endpoint.requests), 1)
+
     async def test_the_id_of_a_request_that_is_never_complete_is_free_again(self) -> None:
         endpoint = await self.start_server(http_response(b"ok"))
         await self.open_gateway(endpoint.address)
