At the limit of connections none whose request was read completely is closed

Cause: a connection is NEW until its first request is forwarded, also while that request, read completely, waits for its handler; likewise READING. At the limit the oldest of them was closed.

Change: a connection with a request that was read completely is never selected. If there is no other, the new connection itself is closed unread. Connections closed at the limit are reset, so that a client whose request arrives just then knows that it was not read.

--- a/drumgw/gateway/client_connections.py
+++ b/drumgw/gateway/client_connections.py
@@ -19,6 +19,8 @@
 
 import asyncio
 import select
+import socket
+import struct
 from collections.abc import Callable
 from enum import Enum
 from functools import partial
@@ -40,6 +42,8 @@
 """Half of the time in which an attempt may still begin after its client's close (protocol).
 
 A request may wait this long after the previous response, and as long again until an attempt of it begins."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""The value of SO_LINGER with which closing a socket sends a reset."""
 CLIENT_ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -149,6 +153,17 @@
         if self.socket_transport is not None:
             self.socket_transport.abort()  # aiohttp may have dropped its reference before
 
+    def reset(self) -> None:
+        """Closes the connection at once with a reset: a request that the client has sent was not processed.
+
+        Without unread bytes in the socket the system would send an end of the stream instead.
+        """
+        transport = self.socket_transport
+        if transport is not None and not transport.is_closing():
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self.abort()
+
     def send_last_response(self, response: bytes = b"") -> None:
         """Writes the last response, if any, shuts down the sending side and stops reading.
 
--- a/drumgw/gateway/connection_limits.py
+++ b/drumgw/gateway/connection_limits.py
@@ -57,11 +57,12 @@
         """Adds a new connection.
 
         At the limit it closes one connection first, so clients that open hundreds of connections without
-        sending anything cannot lock out others.
+        sending anything cannot lock out others. A request on that connection was not read completely, and the
+        reset tells the client so.
         """
         if self.count() >= self.bounds.max_client_connections:
             shed[ShedReason.CONNECTION_LIMIT] += 1
-            self.select_for_closing(client).abort()
+            self.select_for_closing(client).reset()
         self.connections[ConnectionState.NEW][client] = None
 
     def change_state(self, client: ClientConnection, state: ConnectionState) -> bool:
@@ -106,7 +107,8 @@
         """Selects the connection to close at the limit; the new connection itself if there is no other.
 
         In this order: a CLOSING one whose last response has been sent; the oldest NEW one; the longest idle;
-        the one that has been READING for longest. A NEW connection is selected only if the event loop has had
+        the one that has been READING for longest. One whose request was read completely is never selected, as
+        that request has to be answered. A NEW connection is selected only if the event loop has had
         time to read it, or if there are more NEW connections than idle ones. That protects new connections if
         many clients send one request and stay connected, and idle ones if hundreds connect without sending
         anything.
@@ -117,7 +119,7 @@
         finished = next((client for client in closing if not client.has_unsent_data()), None)
         if finished is not None:
             return finished
-        oldest_new = next(iter(new), None)
+        oldest_new = next(filter(_can_close_unanswered, new), None)
         if oldest_new is not None:
             had_time_to_be_read = new_client.state_since_ms - oldest_new.state_since_ms > STALL_THRESHOLD_MS
             if had_time_to_be_read or len(new) > len(idle):
@@ -125,7 +127,8 @@
         longest_idle = self.longest_idle()
         if longest_idle is not None:
             return longest_idle
-        return next(iter(self.connections[ConnectionState.READING]), new_client)
+        reading = self.connections[ConnectionState.READING]
+        return next(filter(_can_close_unanswered, reading), new_client)
 
     def longest_idle(self) -> ClientConnection | None:
         """The longest idle connection; None if there is none or it cannot be closed safely yet.
@@ -199,3 +202,8 @@
                 client.abort()
         if self.connections[ConnectionState.CLOSING]:
             self.schedule_close_check()
+
+
+def _can_close_unanswered(client: ClientConnection) -> bool:
+    """Whether no request on a connection is owed a response: none was read completely."""
+    return client.is_receiving_request() and not client.has_unparsed_bytes()
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from drumgw.gateway.client_connections import ClientConnection, ConnectionState
+from drumgw.gateway.http_headers import HEAD_END
 from drumgw.gateway.http_server import RECEIVE_BUFFER_BYTES
 from drumgw.gateway.responses import CompleteResponse
 from tests.gateway_case import (
@@ -156,6 +157,57 @@
         )
 
 
+class ConnectionLimitTest(RaceCase):
+    """A gateway with six client connections."""
+
+    async def test_connections_whose_request_was_read_are_not_closed_for_new_ones(self) -> None:
+        """Regression: at the limit the oldest new connection was closed, though its request had been read."""
+        endpoint = await self.start_server(http_response(b"ok"))
+        gateway = await self.open_gateway(endpoint.address, limits={"sockets": 34})
+        kept = [self.open_client() for _ in range(6)]
+        for connection in kept[:3]:  # the second requests of these are held, and the first of the others
+            connection.write(http_request())
+            await connection.read(HEAD_END)
+        release = asyncio.Event()
+        serve = gateway.http_server.serve
+        held: list[str] = []
+
+        async def hold(request: Any, target: str, client: Any) -> Any:
+            held.append(target)
+            await release.wait()
+            return await serve(request, target, client)
+
+        with mock.patch.object(gateway.http_server, "serve", hold):
+            for connection in kept:
+                connection.write(http_request())
+            await wait_until(lambda: len(held) == len(kept))
+            for _ in range(20):
+                surplus = self.open_client()
+                self.assertEqual(await surplus.read_to_end(), b"(reset)")
+            release.set()
+            for connection in kept:
+                self.assertRegex(await connection.read(HEAD_END), b"HTTP/1.1 (200|503)")
+
+    async def test_new_connections_without_a_whole_request_give_way_to_others(self) -> None:
+        endpoint = await self.start_server(http_response(b"ok"))
+        await self.open_gateway(endpoint.address, limits={"sockets": 34})
+        complete_bytes = len(http_request(POST_TARGET, "POST", b"{}"))
+        for sent_bytes in (0, complete_bytes - 9, complete_bytes - 1):
+            partial = [self.open_client() for _ in range(6)]
+            for connection in partial:
+                connection.write(http_request(POST_TARGET, "POST", b"{}")[:sent_bytes])
+            await asyncio.sleep(0.15)  # the event loop has had time to read them
+            for _ in range(6):
+                other = self.open_client()
+                other.write(http_request())
+                self.assertRegex(await other.read(HEAD_END), b"HTTP/1.1 (200|503)")
+                other.close()
+            self.assertEqual(await partial[0].read_to_end(), b"(reset)")
+            for connection in partial:
+                connection.close()
+            await wait_until(lambda: not self.gateway.http_server.limits.count())
+
+
 class ClientDisconnectTest(RaceCase):
     """A client that disconnects while its request waits: no more is sent, its resources are released."""
 
