The configured list is not used while a pushing agent is silent

What a pushing agent has counts as announced from the first moment of a process, and that rule has no limit.

A shared discovery that cannot be reached has announced nothing, so the list is still used there after 20 s, as is an empty list, which forwards nothing.

Tests: the one that asked for the fallback contradicted the rule. In its place one asks that nothing is forwarded however long the agent is silent (it fails without the change: 200 in place of 503), and the old one stands in test_shared_discovery, for a service that is asked.

--- a/drumgw/gateway/discovery.py
+++ b/drumgw/gateway/discovery.py
@@ -180,11 +180,16 @@
         await self._pool.close()
 
     async def _use_known_list_if_silent(self) -> None:
-        """Falls back to the configured list if discovery has not answered within KNOWN_LIST_AFTER_MS."""
+        """Falls back to the configured list if discovery has not answered within KNOWN_LIST_AFTER_MS.
+
+        Not with an agent, unless that list is empty: what the agent has counts as announced from the start of
+        the process, so an endpoint of the list may be draining by now.
+        """
         await asyncio.sleep(KNOWN_LIST_AFTER_MS / 1000)
-        if not self.has_endpoints.is_set():
+        known = self._reader.read(self._config.known_endpoints)  # valid: the constructor has read it
+        may_use_known = self._config.shared_discovery or not known.rows
+        if may_use_known and not self.has_endpoints.is_set():
             self._log.log_silence_at_start(KNOWN_LIST_AFTER_MS / 1000, "the known endpoint list is used")
-            known = self._reader.read(self._config.known_endpoints)  # valid: the constructor has read it
             self._apply(self.membership.use_known(known), "known endpoint list")
             self.has_endpoints.set()
 
--- a/drumgw/gateway/membership.py
+++ b/drumgw/gateway/membership.py
@@ -7,8 +7,8 @@
 1. Start. The protocol counts the agent's list as known to the gateway from the start of the process, so the
    configured list must be taken as out of date. Nothing is forwarded before the agent has answered, and no
    clients are accepted. After MAX_START_WAIT_MS without an answer the gateway becomes ready nevertheless, and
-   rejects all requests with Retry-After. Only after KNOWN_LIST_AFTER_MS without an answer is the configured
-   list used, until the agent answers.
+   rejects all requests with Retry-After until the agent answers. A shared discovery service that cannot be
+   reached has announced nothing: after KNOWN_LIST_AFTER_MS without an answer the configured list is used.
 2. Order. Updates are applied in the order of their generations. From an older update, only departures (drains
    and removals, including endpoints that a complete list omits) and later starts of known endpoints are
    applied; anything else could revert a newer update. If the agent stays behind for RENUMBERED_AFTER_MS, it
--- a/tests/agent_case.py
+++ b/tests/agent_case.py
@@ -50,6 +50,15 @@
         async with self.content_changed:
             self.content_changed.notify_all()
 
+    async def answer_with_drain(self, known: list[JsonObject]) -> None:
+        """Lets a silent agent answer again, with a drain of the first endpoint; waits until that is read."""
+        self.content = {
+            "generation": 3,
+            "reset": True,
+            "instances": [{"instanceId": "s-0", "lifecycle": "draining"}, known[1]],
+        }
+        await self.wait_for_calls("since=3&")
+
     async def start_gateway(self, known: list[JsonObject], **config: Any) -> GatewayProcess:
         """Starts a gateway, without waiting until it accepts clients (see `wait_until_open`)."""
         self.gateway = GatewayProcess(load_config(raw_config(self.discovery.address, known, **config)))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -52,35 +52,25 @@
         self.assertEqual(await self.send_requests_of_all_customers(), [(200, b"other")] * 16)
         self.assertEqual((one.requests, self.statuses()), ([], {"s-0": "draining", "s-1": "ready"}))
 
-    async def test_known_list_is_used_during_long_outage_at_start(self) -> None:
-        """The agent is down when the gateway starts, for longer than any known outage; an endpoint drains.
-
-        The gateway falls back to the known list, as it would otherwise reject all requests. It must apply the
-        agent's list, with the drain, as soon as the agent answers.
-        """
-        one, _, known = await self.start_endpoints()
+    async def test_known_list_is_not_used_however_long_the_agent_is_silent(self) -> None:
+        """Regression: after 20 s of silence a request went to an endpoint whose drain the agent had."""
+        one, other, known = await self.start_endpoints()
         await self.start_agent()
         self.content = None
         with (
             mock.patch(f"{DISCOVERY}.KNOWN_LIST_AFTER_MS", 0.0),
             mock.patch(f"{DISCOVERY}.POLL_INTERVAL_PER_DRAIN_GRACE", 0.07),
-            mock.patch("drumgw.gateway.discovery_log.logger") as log,
+            mock.patch("drumgw.gateway.process.MAX_START_WAIT_MS", 100.0),
         ):
-            await self.start_gateway(known)
+            gateway = await self.start_gateway(known)
             await self.wait_until_open()
-            self.assertIn("the known endpoint list is used", str(log.warning.call_args_list))
-            self.assertEqual(
-                set(await self.send_requests_of_all_customers()), {(200, b"one"), (200, b"other")}
-            )
-            requests_before_drain = len(one.requests)
-            self.content = {
-                "generation": 3,
-                "reset": True,
-                "instances": [{"instanceId": "s-0", "lifecycle": "draining"}, known[1]],
-            }
-            await self.wait_for_calls("since=3&")
+            for status, _ in await self.send_requests_of_all_customers():
+                self.assertEqual(status, 503)
+            self.assertEqual((one.connections, other.connections), ([], []))
+            self.assertFalse(gateway.discovery.has_endpoints.is_set())
+            await self.answer_with_drain(known)
         self.assertEqual(await self.send_requests_of_all_customers(), [(200, b"other")] * 16)
-        self.assertEqual((len(one.requests), self.targets[0]), (requests_before_drain, "/registry/instances"))
+        self.assertEqual((one.requests, self.targets[0]), ([], "/registry/instances"))
 
     async def test_gateway_becomes_ready_and_rejects_requests_while_agent_is_silent(self) -> None:
         """The agent is down when the gateway starts, and the gateway must become ready in time.
--- a/tests/test_shared_discovery.py
+++ b/tests/test_shared_discovery.py
@@ -49,6 +49,31 @@
         )
         self.assertEqual((one.requests, self.statuses()), ([], {"s-0": "draining", "s-1": "ready"}))
 
+    async def test_known_list_is_used_during_long_outage_at_start(self) -> None:
+        """The service is down when the gateway starts, for longer than any known outage; an endpoint drains.
+
+        The gateway falls back to the known list, as it would otherwise reject all requests. It must apply the
+        service's list, with the drain, as soon as the service answers.
+        """
+        one, _, known = await self.start_endpoints()
+        await self.start_agent()
+        self.content = None
+        with (
+            mock.patch(f"{DISCOVERY}.KNOWN_LIST_AFTER_MS", 0.0),
+            mock.patch(f"{DISCOVERY}.SHARED_FIRST_TIMEOUT_MS", 200.0),
+            mock.patch("drumgw.gateway.discovery_log.logger") as log,
+        ):
+            await self.start_gateway(known, settings=raw_settings(discovery="ask"))
+            await self.wait_until_open()
+            self.assertIn("the known endpoint list is used", str(log.warning.call_args_list))
+            self.assertEqual(
+                set(await self.send_requests_of_all_customers()), {(200, b"one"), (200, b"other")}
+            )
+            requests_before_drain = len(one.requests)
+            await self.answer_with_drain(known)
+        self.assertEqual(await self.send_requests_of_all_customers(), [(200, b"other")] * 16)
+        self.assertEqual(len(one.requests), requests_before_drain)
+
     async def test_watch_continues_after_update(self) -> None:
         """Each answer is followed by exactly one call, which requests the changes since its generation."""
         _, _, known = await self.start_endpoints()
