--- a/tests/soak_peers.py
+++ b/tests/soak_peers.py
@@ -9,6 +9,7 @@
 import time
 from typing import Any, NamedTuple, cast
 
+from tests.endless_server import Endless
 from tests.flood_endpoint import CONTENT_LENGTH, HEAD_END
 from tests.gateway_case import endpoint_row
 from tests.scripted_server import http_response
@@ -21,6 +22,8 @@
 REQUEST_ID = re.compile(rb"(?i)\r\nrequest-id: (\S+)")
 TIME_LEFT = re.compile(rb"(?i)\r\nrequest-timeout: (\d+)m")
 WATCH = re.compile(r"since=(\d+)&timeout_ms=(\d+)")
+ENDLESS_ANSWERS = tuple(kind for kind in Endless if kind is not Endless.SURPLUS_ANSWERS)
+"""The first of surplus answers is whole, and would be passed on."""
 NOT_STARTED = http_response(status=503, Not_Started="1")
 
 
@@ -46,7 +49,7 @@
 
 
 class SoakEndpoint:
-    """An endpoint that answers after a while, and sometimes fails, hangs, resets or refuses.
+    """An endpoint that answers after a while; sometimes it fails, hangs, resets, refuses or never ends.
 
     Attributes:
         name: The name of the present process.
@@ -118,6 +121,8 @@
             connection.abort_later(delay_s)
         elif chance < 0.15:
             return  # never answers
+        elif chance < 0.17:
+            connection.answer_without_end(self._choices.choice(ENDLESS_ANSWERS))
         else:
             connection.answer_later(delay_s, response)
 
@@ -129,6 +134,8 @@
         self._endpoint = endpoint
         self._received = b""
         self._transport: asyncio.Transport | None = None
+        self._is_paused = False
+        self._endless: Endless | None = None  # what it sends until the gateway closes the connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection."""
@@ -157,6 +164,27 @@
         if self._transport is not None:
             self._transport.write(response)
 
+    def answer_without_end(self, endless: Endless) -> None:
+        """Begins an answer, and goes on with it as fast as it is read."""
+        self._endless = endless
+        self.answer(endless.start)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Writes the next part of an answer without end, and further ones until the buffer is full."""
+        if self._endless is not None and self._transport is not None and not self._is_paused:
+            self.answer(self._endless.block)
+            asyncio.get_running_loop().call_soon(self._go_on)
+
+    def pause_writing(self) -> None:
+        """Notes that the buffer is full."""
+        self._is_paused = True
+
+    def resume_writing(self) -> None:
+        """Goes on with an answer without end."""
+        self._is_paused = False
+        self._go_on()
+
     def answer_later(self, delay_s: float, response: bytes) -> None:
         """Writes a response after a while."""
         asyncio.get_running_loop().call_later(delay_s, self.answer, response)
