--- a/drumgw/gateway/peer_connection.py
+++ b/drumgw/gateway/peer_connection.py
@@ -27,10 +27,12 @@
 from drumgw.gateway.response_framing import RawResponse, ResponseFramer
 from drumgw.gateway.turn_scheduler import TurnScheduler
 
-READ_BYTES = 16 * 1024
+READ_BYTES = 32 * 1024
 """How much of a connection is read at once."""
 PIECE_BYTES = 2 * 1024
 """How much is parsed between two looks at the clock: a millisecond's work, if all chunks have one byte."""
+HEAD_PIECE_BYTES = 512
+"""How much of a larger read is parsed at once; most heads fit in it."""
 PARSE_S = 0.002
 """How long the bytes of one connection are parsed before others have their turn."""
 
@@ -128,13 +130,11 @@
             return b""
 
     def data_received(self, data: bytes) -> None:
-        """Parses the bytes, now or in a later turn. A small read needs no turn: its peer has sent no more."""
+        """Parses the bytes, now or in a later turn."""
         if self._unparsed:
             self._unparsed += data
-        elif len(data) <= PIECE_BYTES or self._turns.take_piece():
-            self._parse(data, time.monotonic() + PARSE_S)
         else:
-            self._wait_for_turn(data)
+            self._parse(data, None)
 
     def _wait_for_turn(self, data: bytes) -> None:
         """Keeps bytes for a later turn, and reads no more until then."""
@@ -158,20 +158,29 @@
         data, self._unparsed = self._unparsed, b""
         return data
 
-    def _parse(self, data: bytes, end_s: float) -> None:
+    def _parse(self, data: bytes, end_s: float | None) -> None:
         """Parses bytes and delivers each response that they complete; keeps the rest once the time is over.
 
+        A small read needs no turn, as its peer has sent no more. Nor does the beginning of a larger one, as a
+        body with a length may follow, which is only copied.
+
         Args:
             data: The bytes that follow those parsed before.
-            end_s: When to stop, by `time.monotonic`; at least one piece is parsed.
+            end_s: When the connection's turn is over, by `time.monotonic`; None if it has none yet.
         """
+        first_piece_bytes = HEAD_PIECE_BYTES if end_s is None and len(data) > PIECE_BYTES else PIECE_BYTES
         position = 0
+        view = memoryview(data)
         while position < len(data) and self.is_usable():
-            if position and time.monotonic() >= end_s and self._expected_responses:
-                self._wait_for_turn(data[position:])
-                break
-            piece_bytes = max(PIECE_BYTES, self.framer.missing_body_bytes)
-            if not self._parse_piece(data[position : position + piece_bytes]):
+            body_bytes = self.framer.missing_body_bytes
+            if position and not body_bytes and self._expected_responses:
+                if end_s is None and self._turns.take_piece():
+                    end_s = time.monotonic() + PARSE_S
+                if end_s is None or time.monotonic() >= end_s:
+                    self._wait_for_turn(data[position:])
+                    break
+            piece_bytes = max(body_bytes, PIECE_BYTES if position else first_piece_bytes)
+            if not self._parse_piece(view[position : position + piece_bytes]):
                 return
             position += piece_bytes
         if not self.framer.is_within_response and not self._unparsed:
@@ -179,7 +188,7 @@
         elif self._response_timer is None:
             self._response_timer = self._start_response_timer(self._response_stalled)
 
-    def _parse_piece(self, piece: bytes) -> bool:
+    def _parse_piece(self, piece: memoryview) -> bool:
         """Parses a piece; returns False if it was malformed or unsolicited, and the connection aborted."""
         framer = self.framer
         framer.feed(piece)
--- a/drumgw/gateway/response_framing.py
+++ b/drumgw/gateway/response_framing.py
@@ -94,7 +94,7 @@
             return 0
         return self._body_length - len(self._buffer)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Adds received bytes to the buffer."""
         self._buffer += data
 
@@ -139,7 +139,8 @@
 
     def _take(self, byte_count: int) -> bytes:
         """Removes bytes from the start of the buffer. A `bytearray` does so without moving the rest."""
-        taken = bytes(self._buffer[:byte_count])
+        with memoryview(self._buffer) as view:
+            taken = bytes(view[:byte_count])
         del self._buffer[:byte_count]
         self._searched_bytes = 0
         return taken
