At the limit of connections only a NEW one is reset; a response on its way is not discarded

On an idle or closing one the system may still have part of the last response to send, and a reset discards it.

Measured: the new test fails without this (4,054 of 60,000 bytes arrive) and passes with it.

--- a/drumgw/gateway/connection_limits.py
+++ b/drumgw/gateway/connection_limits.py
@@ -57,12 +57,16 @@
         """Adds a new connection.
 
         At the limit it closes one connection first, so clients that open hundreds of connections without
-        sending anything cannot lock out others. A request on that connection was not read completely, and the
-        reset tells the client so.
+        sending anything cannot lock out others. A NEW one is reset, which tells its client that no request
+        was read; on any other the system may still have a response to send, which a reset would discard.
         """
         if self.count() >= self.bounds.max_client_connections:
             shed[ShedReason.CONNECTION_LIMIT] += 1
-            self.select_for_closing(client).reset()
+            closing = self.select_for_closing(client)
+            if closing.state is ConnectionState.NEW:
+                closing.reset()
+            else:
+                closing.abort()
         self.connections[ConnectionState.NEW][client] = None
 
     def change_state(self, client: ClientConnection, state: ConnectionState) -> bool:
--- a/tests/test_client_connection_races.py
+++ b/tests/test_client_connection_races.py
@@ -188,6 +188,28 @@
             for connection in kept:
                 self.assertRegex(await connection.read(HEAD_END), b"HTTP/1.1 (200|503)")
 
+    async def test_a_response_on_its_way_is_not_lost_when_its_connection_gives_way(self) -> None:
+        """Regression: the reset of an idle connection discarded what the system had not sent yet."""
+        endpoint = await self.start_server(http_response(LARGE))
+        gateway = await self.open_gateway(endpoint.address, limits={"sockets": 34})
+        slow = socket.socket()
+        self.addCleanup(slow.close)
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(self.listen_address)
+        client = ScriptedConnection(slow)
+        client.write(http_request())
+        limits = gateway.http_server.limits
+        await wait_until(lambda: limits.connections[ConnectionState.IDLE])
+        (idle,) = limits.connections[ConnectionState.IDLE]
+        await wait_until(lambda: not idle.has_unsent_data())  # the system has it all
+        with (
+            mock.patch.object(limits, "count", return_value=gateway.config.max_client_connections),
+            mock.patch.object(limits, "select_for_closing", return_value=idle),
+        ):
+            self.open_client()
+            await wait_until(lambda: idle not in limits.connections[ConnectionState.IDLE])
+        self.assertEqual((await client.read_to_end()).count(b"x"), len(LARGE))
+
     async def test_new_connections_without_a_whole_request_give_way_to_others(self) -> None:
         endpoint = await self.start_server(http_response(b"ok"))
         await self.open_gateway(endpoint.address, limits={"sockets": 34})
